Add the design, the codecs and the entry's router

Cause: the project is empty; modules that are written in parallel need fixed interfaces and one packet format first.

Ruled out: CoAP through libcoap, whose public interface can't hand out an encoded packet without one of its own sessions; GUE, an expired draft; entries with a flow table, which a fabric that sprays per packet defeats.

Change: docs/design.md; public headers of the decision library; ONC RPC packets through libtirpc; sealed tokens; router, ranking and views; build, format, lint and test scripts.

No speed was measured.

Conclusion: nothing serves requests yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,103 @@
+# plantainlug: one binary, built with the system's packages (packages.txt).
+#
+#   make          build build/plantainlug
+#   make run      install packages, build, run the demonstration
+#   make check    build with sanitizers and run all tests
+#   make bench    benchmarks; make bench-capacity and make measure likewise
+
+BUILD ?= build
+CC ?= cc
+PACKAGES = apr-1 libprotobuf-c json-c libtirpc libsodium libcurl libmicrohttpd \
+	log4c argtable2 libxxhash
+
+# pkg-config answers only after the packages are installed.
+PKG_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
+PKG_LIBS = $(shell pkg-config --libs $(PACKAGES))
+WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wwrite-strings -Wvla
+OPTIMISE ?= -O2 -g
+SANITIZE ?=
+CFLAGS = -std=gnu11 $(OPTIMISE) $(SANITIZE) $(WARNINGS) -pthread
+CPPFLAGS = -I. $(PKG_CFLAGS)
+LDLIBS = $(PKG_LIBS) -lm -pthread
+
+LIB_SOURCES = $(wildcard libplantainlug/*.c) proto/control.pb-c.c
+DRIVER_SOURCES = $(wildcard net/*.c standins/*.c)
+CLI_SOURCES = $(wildcard cli/*.c)
+UNIT_SOURCES = $(wildcard tests/unit/*.c)
+BENCH_SOURCES = $(wildcard bench/*.c)
+FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
+HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
+	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] bench/*.[ch])
+
+objects = $(patsubst %.c,$(BUILD)/%.o,$(1))
+LIB_OBJECTS = $(call objects,$(LIB_SOURCES))
+PROGRAM_OBJECTS = $(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES) $(CLI_SOURCES))
+
+all: $(BUILD)/plantainlug
+
+$(BUILD)/plantainlug: $(PROGRAM_OBJECTS)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/unit-tests: $(call objects,$(UNIT_SOURCES)) $(LIB_OBJECTS) \
+	$(call objects,$(DRIVER_SOURCES))
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $$(pkg-config --libs check)
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SOURCES)
+	@mkdir -p $(@D)
+	clang -std=gnu11 -g -O1 -fsanitize=fuzzer,address,undefined \
+	    -fno-sanitize-recover=undefined $(CPPFLAGS) -o $@ $^ $(LDLIBS)
+
+# Generated code is not held to the warnings of hand-written code.
+$(BUILD)/proto/%.o: proto/%.c
+	@mkdir -p $(@D)
+	$(CC) -std=gnu11 $(OPTIMISE) $(SANITIZE) $(CPPFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(CPPFLAGS) -MMD -c -o $@ $<
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+SANITIZE_BUILD = build/sanitize
+SANITIZE_FLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+
+sanitized:
+	$(MAKE) BUILD=$(SANITIZE_BUILD) OPTIMISE="-O1 -g" \
+	    SANITIZE="$(SANITIZE_FLAGS)" $(SANITIZE_BUILD)/plantainlug \
+	    $(SANITIZE_BUILD)/unit-tests
+
+fuzzers: $(patsubst tests/fuzz/%.c,$(BUILD)/fuzz/%,$(FUZZ_SOURCES))
+
+check: all sanitized fuzzers
+	tests/run $(BUILD) $(SANITIZE_BUILD)
+
+format:
+	clang-format -i $(HAND_WRITTEN)
+
+format-check:
+	clang-format --dry-run --Werror $(HAND_WRITTEN)
+
+LINT_SOURCES = $(filter %.c,$(HAND_WRITTEN))
+lint:
+	printf '%s\n' $(LINT_SOURCES) | xargs -P 8 -n 4 sh -c \
+	    'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' lint
+
+install-packages:
+	./install-packages
+
+run: install-packages
+	$(MAKE) all
+	./demo $(BUILD)
+
+generate:
+	cd proto && protoc-c --c_out=. control.proto
+
+clean:
+	rm -rf build
+
+.PHONY: all check clean format format-check fuzzers generate install-packages \
+	lint run sanitized
--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,10 @@
+#include <stdio.h>
+
+#include "libplantainlug/plantainlug.h"
+
+int
+main(void)
+{
+	(void)printf("plantainlug %s\n", PLUG_VERSION);
+	return 0;
+}
--- /dev/null
+++ b/libplantainlug/rank.h
@@ -0,0 +1,13 @@
+#ifndef PLUG_RANK_H
+#define PLUG_RANK_H
+
+#include "view.h"
+
+#define PLUG_RANK_DEPTH 3 /* candidates that are tried for a moved flow */
+
+uint64_t plug_rank_weight(uint64_t id, struct plug_endpoint endpoint);
+unsigned int plug_rank_members(const struct plug_service *service,
+    uint64_t flow, struct plug_endpoint except,
+    const struct plug_member *ranked[PLUG_RANK_DEPTH]);
+
+#endif
--- /dev/null
+++ b/libplantainlug/router.c
@@ -0,0 +1,252 @@
+#include <string.h>
+
+#include "rank.h"
+#include "router.h"
+
+#define NO_HOST_RETRY_MS    1000 /* until an instance list may show a host */
+#define OWNER_ONLY_ATTEMPTS 2	 /* transmissions that go to the owner alone */
+
+/**
+ * plug_router_init() - prepare a router
+ * @router: router to fill
+ * @client: random state and log handler of the traffic thread
+ * @domain: hash of the entry's own failure domain
+ */
+void
+plug_router_init(
+    struct plug_router *router, struct plug_client *client, uint32_t domain)
+{
+	memset(router, 0, sizeof(*router));
+	router->client = client;
+	router->domain = domain;
+}
+
+static void
+drop(struct plug_verdict *verdict, enum plug_route_reason reason)
+{
+	verdict->kind = PLUG_VERDICT_DROP;
+	verdict->reason = reason;
+}
+
+static void
+forward(struct plug_verdict *verdict, enum plug_route_reason reason,
+    struct plug_endpoint target)
+{
+	verdict->kind = PLUG_VERDICT_FORWARD;
+	verdict->reason = reason;
+	verdict->target = target;
+}
+
+static void
+answer(struct plug_verdict *verdict, enum plug_route_reason reason,
+    const struct plug_call *call, enum plug_outcome outcome,
+    uint32_t retry_after_ms)
+{
+	const struct plug_reply reply = {
+		.caller = call->caller,
+		.service = call->service,
+		.xid = call->xid,
+		.outcome = outcome,
+		.retry_after_ms = retry_after_ms,
+	};
+
+	verdict->kind = PLUG_VERDICT_REPLY;
+	verdict->reason = reason;
+	verdict->reply_len = plug_packet_encode_reply(
+	    &reply, verdict->reply, sizeof(verdict->reply));
+}
+
+/* Picks a usable member at random; every host of a service has equal slots. */
+static const struct plug_member *
+pick_member(struct plug_router *router, const struct plug_service *service,
+    bool own_domain_only)
+{
+	const struct plug_member *picked = NULL;
+	uint32_t seen = 0;
+
+	for (unsigned int i = 0; i < service->member_count; i++) {
+		const struct plug_member *member = &service->members[i];
+
+		if (!plug_service_usable(service, member) ||
+		    (own_domain_only && member->domain != router->domain))
+			continue;
+		if (plug_client_random(router->client, ++seen) == 0)
+			picked = member;
+	}
+	return picked;
+}
+
+/* An opening flow has no owner yet. Nothing has run, so "not run" is true. */
+static void
+route_open(struct plug_router *router, const struct plug_service *service,
+    const struct plug_call *call, struct plug_verdict *verdict)
+{
+	const struct plug_member *member;
+
+	if (call->procedure != PLUG_PROCEDURE_NULL) {
+		answer(verdict, PLUG_ROUTE_BAD_TOKEN, call,
+		    PLUG_OUTCOME_NOT_RUN, 0);
+		return;
+	}
+	member = pick_member(router, service, true);
+	if (member != NULL) {
+		forward(verdict, PLUG_ROUTE_OPEN_LOCAL, member->endpoint);
+		return;
+	}
+	member = pick_member(router, service, false);
+	if (member != NULL)
+		forward(verdict, PLUG_ROUTE_OPEN_REMOTE, member->endpoint);
+	else
+		answer(verdict, PLUG_ROUTE_NO_HOST, call, PLUG_OUTCOME_NOT_RUN,
+		    NO_HOST_RETRY_MS);
+}
+
+/*
+ * The owner gets the first transmissions. Later ones alternate with the ranked
+ * candidates, since the owner may have moved its flows and left while the
+ * instance list still shows it. Only an agent may say that the flow is lost.
+ */
+static void
+route_flow(const struct plug_service *service, const struct plug_call *call,
+    const struct plug_token *token, struct plug_verdict *verdict)
+{
+	const struct plug_member *ranked[PLUG_RANK_DEPTH];
+	bool listed = plug_service_member(service, token->agent) != NULL;
+
+	if (call->attempt < OWNER_ONLY_ATTEMPTS ||
+	    (listed && call->attempt % 2 != 0)) {
+		forward(verdict, PLUG_ROUTE_OWNER, token->agent);
+		return;
+	}
+	if (plug_rank_members(service, token->flow, token->agent, ranked) > 0) {
+		forward(verdict, PLUG_ROUTE_OWNER_GONE, ranked[0]->endpoint);
+		return;
+	}
+	if (listed)
+		forward(verdict, PLUG_ROUTE_OWNER, token->agent);
+	else
+		answer(verdict, PLUG_ROUTE_NO_HOST, call,
+		    PLUG_OUTCOME_FLOW_LOST, NO_HOST_RETRY_MS);
+}
+
+static void
+route(struct plug_router *router, const struct plug_view *view,
+    const uint8_t *packet, size_t len, struct plug_verdict *verdict)
+{
+	const struct plug_service *service;
+	struct plug_token token;
+	struct plug_call call;
+
+	if (view == NULL) {
+		drop(verdict, PLUG_ROUTE_NO_VIEW);
+		return;
+	}
+	if (plug_packet_decode_call(packet, len, &call, NULL) != PLUG_OK) {
+		drop(verdict, PLUG_ROUTE_BAD_PACKET);
+		return;
+	}
+	verdict->service = call.program;
+	service = plug_view_service(view, call.program);
+	if (service == NULL ||
+	    !plug_endpoint_equal(service->document.address, call.service)) {
+		drop(verdict, PLUG_ROUTE_NO_SERVICE);
+		return;
+	}
+	verdict->version = service->document_version;
+	if (!call.has_token) {
+		route_open(router, service, &call, verdict);
+		return;
+	}
+	if (plug_token_open(
+		call.token, &service->document.token_keys, &token) != PLUG_OK ||
+	    token.service != call.program) {
+		answer(verdict, PLUG_ROUTE_BAD_TOKEN, &call,
+		    PLUG_OUTCOME_FLOW_LOST, 0);
+		return;
+	}
+	verdict->flow = token.flow;
+	if (plug_document_domain_out(&service->document, token.domain)) {
+		answer(verdict, PLUG_ROUTE_DOMAIN_OUT, &call,
+		    PLUG_OUTCOME_FLOW_LOST, 0);
+		return;
+	}
+	route_flow(service, &call, &token, verdict);
+}
+
+/**
+ * plug_router_decide() - decide what to do with one packet
+ * @router: router of the calling thread
+ * @view: view to act on; NULL when there is none or it is not confirmed
+ * @packet: inner packet; a forwarded one loses a hop
+ * @len: length in bytes
+ * @verdict: result
+ *
+ * Keeps no state for a flow and allocates nothing. Logs opening flows and
+ * every decision other than forwarding to the owner; dropped packets are
+ * counted only, since anybody can send them.
+ */
+void
+plug_router_decide(struct plug_router *router, const struct plug_view *view,
+    uint8_t *packet, size_t len, struct plug_verdict *verdict)
+{
+	char target[32] = "-";
+
+	verdict->service = 0;
+	verdict->flow = 0;
+	verdict->version = 0;
+	verdict->reply_len = 0;
+	route(router, view, packet, len, verdict);
+	if (verdict->kind == PLUG_VERDICT_FORWARD &&
+	    !plug_packet_take_hop(packet, len))
+		drop(verdict, PLUG_ROUTE_NO_HOPS);
+	router->counters[verdict->reason]++;
+	if (verdict->reason == PLUG_ROUTE_OWNER ||
+	    verdict->kind == PLUG_VERDICT_DROP)
+		return;
+	if (verdict->kind == PLUG_VERDICT_FORWARD)
+		(void)plug_endpoint_format(
+		    verdict->target, target, sizeof(target));
+	plug_client_log(router->client, PLUG_LOG_INFO,
+	    "event=route verdict=%s reason=%s service=%u flow=%016llx "
+	    "target=%s version=%llu",
+	    verdict->kind == PLUG_VERDICT_FORWARD ? "forward" : "reply",
+	    plug_route_reason_name(verdict->reason), verdict->service,
+	    (unsigned long long)verdict->flow, target,
+	    (unsigned long long)verdict->version);
+}
+
+/**
+ * plug_route_reason_name() - name of a reason in logs
+ * @reason: reason
+ */
+const char *
+plug_route_reason_name(enum plug_route_reason reason)
+{
+	switch (reason) {
+	case PLUG_ROUTE_OWNER:
+		return "owner";
+	case PLUG_ROUTE_OPEN_LOCAL:
+		return "open_local";
+	case PLUG_ROUTE_OPEN_REMOTE:
+		return "open_remote";
+	case PLUG_ROUTE_OWNER_GONE:
+		return "owner_gone";
+	case PLUG_ROUTE_DOMAIN_OUT:
+		return "domain_out";
+	case PLUG_ROUTE_NO_HOST:
+		return "no_host";
+	case PLUG_ROUTE_NO_SERVICE:
+		return "no_service";
+	case PLUG_ROUTE_BAD_PACKET:
+		return "bad_packet";
+	case PLUG_ROUTE_BAD_TOKEN:
+		return "bad_token";
+	case PLUG_ROUTE_NO_HOPS:
+		return "no_hops";
+	case PLUG_ROUTE_NO_VIEW:
+		return "no_view";
+	case PLUG_ROUTE_REASON_COUNT:
+		break;
+	}
+	return "invalid";
+}
--- /dev/null
+++ b/tests/unit/main.c
@@ -0,0 +1,17 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "suites.h"
+
+int
+main(void)
+{
+	SRunner *runner = srunner_create(packet_suite());
+	int failed;
+
+	srunner_add_suite(runner, token_suite());
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/unit/suites.h
@@ -0,0 +1,9 @@
+#ifndef SUITES_H
+#define SUITES_H
+
+#include <check.h>
+
+Suite *packet_suite(void);
+Suite *token_suite(void);
+
+#endif
