Test the router's choices

Cause: the router decides for every packet and had no test.

Ruled out: testing through processes only; a view of two domains in memory shows each reason directly.

Change: a suite with one case for each reason that forwards or replies.

Conclusion: the miss handling of agents is still untested.

--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -4,6 +4,7 @@
 #include <check.h>
 
 Suite *packet_suite(void);
+Suite *router_suite(void);
 Suite *token_suite(void);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_router.c
@@ -0,0 +1,202 @@
+#include <check.h>
+#include <string.h>
+
+#include "libplantainlug/rank.h"
+#include "libplantainlug/router.h"
+#include "suites.h"
+
+#define SERVICE	     7
+#define OWN_DOMAIN   1
+#define OTHER_DOMAIN 2
+#define SEEDS	     200 /* repetitions of a random choice */
+
+static struct plug_client client;
+static struct plug_router router;
+static struct plug_member members[4];
+static struct plug_service service;
+static struct plug_view view;
+static uint8_t packet[PLUG_PACKET_MAX];
+static size_t packet_len;
+
+static void
+setup(void)
+{
+	memset(&client, 0, sizeof(client));
+	memset(&service, 0, sizeof(service));
+	memset(&view, 0, sizeof(view));
+	for (unsigned int i = 0; i < 4; i++) {
+		members[i].endpoint.address = 0x7f000001;
+		members[i].endpoint.port = (uint16_t)(1000 + i);
+		members[i].domain = i < 2 ? OWN_DOMAIN : OTHER_DOMAIN;
+		members[i].state = PLUG_MEMBER_LIVE;
+	}
+	service.document.service = SERVICE;
+	service.document.address.port = 80;
+	service.document.token_keys.count = 1;
+	service.document_version = 5;
+	service.members = members;
+	service.member_count = 4;
+	view.services = &service;
+	view.service_count = 1;
+	plug_router_init(&router, &client, OWN_DOMAIN);
+}
+
+static void
+encode(const struct plug_token *token, uint32_t attempt)
+{
+	struct plug_call call = {
+		.service = service.document.address,
+		.ttl = PLUG_INITIAL_TTL,
+		.xid = 1,
+		.program = SERVICE,
+		.procedure = token == NULL ? PLUG_PROCEDURE_NULL : 1,
+		.has_token = token != NULL,
+		.attempt = attempt,
+	};
+
+	if (token != NULL)
+		plug_token_seal(
+		    token, &service.document.token_keys, call.token);
+	packet_len = plug_packet_encode_call(&call, packet, sizeof(packet));
+}
+
+static struct plug_token
+token_of(const struct plug_member *member)
+{
+	struct plug_token token = { .service = SERVICE,
+		.agent = member->endpoint,
+		.domain = member->domain,
+		.flow = 99 };
+
+	return token;
+}
+
+static struct plug_verdict
+decide(void)
+{
+	struct plug_verdict verdict;
+
+	plug_router_decide(&router, &view, packet, packet_len, &verdict);
+	return verdict;
+}
+
+/* Guards against opening flows that cross a domain without need. */
+START_TEST(open_prefers_own_domain)
+{
+	unsigned int first = 0;
+
+	for (int i = 0; i < SEEDS; i++) {
+		struct plug_verdict verdict;
+
+		encode(NULL, 0);
+		verdict = decide();
+		ck_assert_int_eq(verdict.reason, PLUG_ROUTE_OPEN_LOCAL);
+		ck_assert_uint_lt(verdict.target.port, 1002);
+		first += verdict.target.port == 1000;
+	}
+	ck_assert_uint_gt(first, 0);
+	ck_assert_uint_lt(first, SEEDS);
+}
+END_TEST
+
+/* Guards against new work for a leaving host and for a domain taken out. */
+START_TEST(open_avoids_unusable_hosts)
+{
+	struct plug_verdict verdict;
+
+	members[0].state = PLUG_MEMBER_LEAVING;
+	members[1].state = PLUG_MEMBER_LEAVING;
+	encode(NULL, 0);
+	verdict = decide();
+	ck_assert_int_eq(verdict.reason, PLUG_ROUTE_OPEN_REMOTE);
+	service.document.domains_out[0] = OTHER_DOMAIN;
+	service.document.domain_out_count = 1;
+	encode(NULL, 0);
+	verdict = decide();
+	ck_assert_int_eq(verdict.kind, PLUG_VERDICT_REPLY);
+	ck_assert_int_eq(verdict.reason, PLUG_ROUTE_NO_HOST);
+}
+END_TEST
+
+/* Guards against a packet of a given-up flow that still enters its domain,
+ * and against a caller that waits for its deadline. */
+START_TEST(domain_out_is_answered_at_once)
+{
+	struct plug_token token = token_of(&members[2]);
+	struct plug_verdict verdict;
+	struct plug_reply reply;
+
+	service.document.domains_out[0] = OTHER_DOMAIN;
+	service.document.domain_out_count = 1;
+	encode(&token, 0);
+	verdict = decide();
+	ck_assert_int_eq(verdict.kind, PLUG_VERDICT_REPLY);
+	ck_assert_int_eq(plug_packet_decode_reply(
+			     verdict.reply, verdict.reply_len, &reply, NULL),
+	    PLUG_OK);
+	ck_assert_int_eq(reply.outcome, PLUG_OUTCOME_FLOW_LOST);
+}
+END_TEST
+
+/* Guards against a moved flow that can't be found once its owner has left
+ * while the instance list lags. */
+START_TEST(resends_reach_ranked_candidate)
+{
+	const struct plug_member *ranked[PLUG_RANK_DEPTH];
+	struct plug_token token = token_of(&members[0]);
+	struct plug_verdict verdict;
+
+	ck_assert_uint_eq(
+	    plug_rank_members(&service, token.flow, token.agent, ranked),
+	    PLUG_RANK_DEPTH);
+	encode(&token, 0);
+	ck_assert_int_eq(decide().reason, PLUG_ROUTE_OWNER);
+	encode(&token, 2);
+	verdict = decide();
+	ck_assert_int_eq(verdict.reason, PLUG_ROUTE_OWNER_GONE);
+	ck_assert(plug_endpoint_equal(verdict.target, ranked[0]->endpoint));
+	ck_assert(!plug_endpoint_equal(verdict.target, token.agent));
+	encode(&token, 3);
+	ck_assert_int_eq(decide().reason, PLUG_ROUTE_OWNER);
+}
+END_TEST
+
+/* Guards against a forged or foreign token that selects the target. */
+START_TEST(token_of_another_service_is_refused)
+{
+	struct plug_token token = token_of(&members[0]);
+
+	token.service = SERVICE + 1;
+	encode(&token, 0);
+	ck_assert_int_eq(decide().reason, PLUG_ROUTE_BAD_TOKEN);
+}
+END_TEST
+
+/* Guards against acting on a view that is not confirmed after a pause. */
+START_TEST(nothing_passes_without_a_view)
+{
+	struct plug_verdict verdict;
+
+	encode(NULL, 0);
+	plug_router_decide(&router, NULL, packet, packet_len, &verdict);
+	ck_assert_int_eq(verdict.kind, PLUG_VERDICT_DROP);
+	ck_assert_int_eq(verdict.reason, PLUG_ROUTE_NO_VIEW);
+}
+END_TEST
+
+Suite *
+router_suite(void)
+{
+	Suite *suite = suite_create("router");
+	TCase *test = tcase_create("router");
+
+	tcase_add_checked_fixture(test, setup, NULL);
+	tcase_add_test(test, open_prefers_own_domain);
+	tcase_add_test(test, open_avoids_unusable_hosts);
+	tcase_add_test(test, domain_out_is_answered_at_once);
+	tcase_add_test(test, resends_reach_ranked_candidate);
+	tcase_add_test(test, token_of_another_service_is_refused);
+	tcase_add_test(test, nothing_passes_without_a_view);
+	suite_add_tcase(suite, test);
+	return suite;
+}
