--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 DRIVER_SOURCES = $(wildcard net/*.c standins/*.c)
 CLI_SOURCES = $(wildcard cli/*.c)
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
-BENCH_SOURCES = $(wildcard bench/*.c)
+BENCH_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
 HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
 	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] bench/*.[ch])
@@ -43,7 +43,8 @@
 	$(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $$(pkg-config --libs check)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
+$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/common.o \
+	$(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SOURCES)
@@ -75,6 +76,9 @@
 check: all sanitized fuzzers
 	tests/run $(BUILD) $(SANITIZE_BUILD)
 
+bench: $(addprefix $(BUILD)/bench/,$(BENCH_NAMES))
+	for name in $(BENCH_NAMES); do $(BUILD)/bench/$$name || exit 1; done
+
 format:
 	clang-format -i $(HAND_WRITTEN)
 
@@ -99,5 +103,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all check clean format format-check fuzzers generate install-packages \
+.PHONY: all bench check clean format format-check fuzzers generate install-packages \
 	lint run sanitized
