Validate documents, settings and instance lists; store versions

Cause: other modules need validated service documents, settings and instance lists, and a store whose versions never go back.

Ruled out: a JSON schema library (Debian has none for json-c), and a parser of our own for the sake of line numbers; json-c parses, and a scan of the accepted text finds the line of a value only when an error is reported.

--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -3,7 +3,10 @@
 
 #include <check.h>
 
+Suite *document_suite(void);
+Suite *keystore_suite(void);
 Suite *packet_suite(void);
+Suite *settings_suite(void);
 Suite *token_suite(void);
 
 #endif
