--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -10,6 +10,9 @@
 	int failed;
 
 	srunner_add_suite(runner, router_suite());
+	srunner_add_suite(runner, document_suite());
+	srunner_add_suite(runner, keystore_suite());
+	srunner_add_suite(runner, settings_suite());
 	srunner_add_suite(runner, token_suite());
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
