--- a/standins/callerflow.h
+++ b/standins/callerflow.h
@@ -4,10 +4,11 @@
 #include "libplantainlug/client.h"
 #include "libplantainlug/packet.h"
 
-#define PLUG_CALLERFLOW_WINDOW	32 /* xids above the floor */
-#define PLUG_CALLERFLOW_BLOCKS	16 /* blocks of one answer on their way */
-#define PLUG_CALLERFLOW_UNHEARD 3  /* resends or heartbeats before a new port \
-				    */
+#define PLUG_CALLERFLOW_WINDOW 32 /* xids above the floor */
+#define PLUG_CALLERFLOW_BLOCKS 16 /* blocks of one answer on their way */
+#define PLUG_CALLERFLOW_UNHEARD                      \
+	3 /* resends or heartbeats before a new port \
+	   */
 #define PLUG_CALLERFLOW_PATIENCE (10 * PLUG_SEC) /* for opening a flow */
 
 /*
@@ -41,6 +42,7 @@
  * @xid: number of the request on its flow
  * @tag: as given to plug_callerflow_submit()
  * @procedure: as given to plug_callerflow_submit()
+ * @idempotent: as given to plug_callerflow_submit()
  * @outcome: how it ended
  * @retry_after_ms: for a refused request, when to submit it again
  * @answer: answer; valid during the call only
@@ -49,6 +51,7 @@
 	uint32_t xid;
 	uint64_t tag;
 	uint32_t procedure;
+	bool idempotent;
 	enum plug_callerflow_outcome outcome;
 	uint32_t retry_after_ms;
 	struct plug_str answer;
@@ -144,6 +147,7 @@
  * @due: when to send the next opening call or heartbeat
  * @deadline: when to give up opening
  * @unheard_resends: resends since the last reply
+ * @unheard_at: when the last of these was counted
  * @unheard_heartbeats: heartbeats since the last reply
  * @resends: resends in total
  * @renewals: new source ports in total
@@ -164,6 +168,7 @@
 	plug_time due;
 	plug_time deadline;
 	unsigned int unheard_resends;
+	plug_time unheard_at;
 	unsigned int unheard_heartbeats;
 	uint64_t resends;
 	uint64_t renewals;
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -3,6 +3,7 @@
 
 #include <check.h>
 
+Suite *callerflow_suite(void);
 Suite *packet_suite(void);
 Suite *token_suite(void);
 
