Add stand-ins for fabric, upstream and caller

Cause: entries and agents need something on both sides that speaks the published protocols, keeps records and can misbehave on demand.

--- /dev/null
+++ b/standins/standin.c
@@ -0,0 +1,208 @@
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "standin.h"
+
+#define RECEIVE_BUFFER	(4 << 20) /* bytes; the kernel may grant less */
+#define LISTEN_BACKLOG	64
+#define NSEC_PER_USEC	1000
+#define ENDPOINT_SIZE	22 /* bytes of "ip:port", with the NUL */
+#define LOWEST_PORT_ARG ":0"
+
+/**
+ * plug_standin_now() - monotonic time
+ */
+plug_time
+plug_standin_now(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &ts);
+	return ts.tv_sec * PLUG_SEC + ts.tv_nsec / NSEC_PER_USEC;
+}
+
+/**
+ * plug_standin_to_sockaddr() - socket address of an endpoint
+ * @endpoint: endpoint
+ */
+struct sockaddr_in
+plug_standin_to_sockaddr(struct plug_endpoint endpoint)
+{
+	return (struct sockaddr_in){ .sin_family = AF_INET,
+		.sin_port = htons(endpoint.port),
+		.sin_addr.s_addr = htonl(endpoint.address) };
+}
+
+/**
+ * plug_standin_from_sockaddr() - endpoint of a socket address
+ * @in: address
+ */
+struct plug_endpoint
+plug_standin_from_sockaddr(struct sockaddr_in in)
+{
+	return (struct plug_endpoint){ ntohl(in.sin_addr.s_addr),
+		ntohs(in.sin_port) };
+}
+
+/**
+ * plug_standin_endpoint() - parse "ip:port", where the port may be 0
+ * @text: text
+ * @endpoint: result
+ *
+ * Return: false, after a message on standard error, when it isn't valid.
+ */
+bool
+plug_standin_endpoint(const char *text, struct plug_endpoint *endpoint)
+{
+	struct plug_str s = plug_str_from(text);
+	char buf[ENDPOINT_SIZE];
+	struct plug_status status;
+	bool any_port = s.len > 2 && s.len < sizeof(buf) - 1 &&
+			strcmp(text + s.len - 2, LOWEST_PORT_ARG) == 0;
+
+	/* The library refuses port 0, which here means an ephemeral port. */
+	if (any_port) {
+		(void)snprintf(
+		    buf, sizeof(buf), "%.*s:1", (int)s.len - 2, text);
+		s = plug_str_from(buf);
+	}
+	plug_status_init(&status);
+	if (plug_endpoint_parse(s, endpoint, &status) != PLUG_OK) {
+		(void)fprintf(stderr, "event=error code=%d text=\"%s\"\n",
+		    (int)status.code, status.message);
+		return false;
+	}
+	if (any_port)
+		endpoint->port = 0;
+	return true;
+}
+
+/**
+ * plug_standin_bind() - open a bound socket that doesn't block
+ * @type: SOCK_DGRAM, or SOCK_STREAM for a listening socket
+ * @local: address to bind; the port that the kernel chose on return
+ *
+ * Return: descriptor, or -1 after a message on standard error.
+ */
+int
+plug_standin_bind(int type, struct plug_endpoint *local)
+{
+	struct sockaddr_in in = plug_standin_to_sockaddr(*local);
+	socklen_t len = sizeof(in);
+	int size = RECEIVE_BUFFER, one = 1;
+	int fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0) {
+		perror("socket");
+		return -1;
+	}
+	if (type == SOCK_STREAM)
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	else
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	if (bind(fd, (struct sockaddr *)&in, sizeof(in)) != 0 ||
+	    (type == SOCK_STREAM && listen(fd, LISTEN_BACKLOG) != 0) ||
+	    getsockname(fd, (struct sockaddr *)&in, &len) != 0) {
+		perror("bind");
+		(void)close(fd);
+		return -1;
+	}
+	*local = plug_standin_from_sockaddr(in);
+	return fd;
+}
+
+/**
+ * plug_standin_signals() - receive SIGTERM, SIGINT and SIGUSR1 as events
+ *
+ * Return: descriptor to poll, or -1 after a message on standard error.
+ */
+int
+plug_standin_signals(void)
+{
+	sigset_t set;
+	int fd;
+
+	(void)signal(SIGPIPE, SIG_IGN);
+	(void)sigemptyset(&set);
+	(void)sigaddset(&set, SIGTERM);
+	(void)sigaddset(&set, SIGINT);
+	(void)sigaddset(&set, SIGUSR1);
+	(void)sigprocmask(SIG_BLOCK, &set, NULL);
+	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (fd < 0)
+		perror("signalfd");
+	return fd;
+}
+
+/**
+ * plug_standin_take_signal() - take one received signal
+ * @fd: from plug_standin_signals()
+ *
+ * Return: signal number, 0 when there is none.
+ */
+int
+plug_standin_take_signal(int fd)
+{
+	struct signalfd_siginfo info;
+
+	if (read(fd, &info, sizeof(info)) != sizeof(info))
+		return 0;
+	return (int)info.ssi_signo;
+}
+
+/**
+ * plug_standin_parse() - parse arguments with argtable2
+ * @name: name of the subcommand for messages
+ * @argc: number of arguments, with the name
+ * @argv: arguments
+ * @table: argtable whose last element is an arg_end
+ *
+ * Return: 0, or PLUG_STANDIN_USAGE after a message on standard error.
+ */
+int
+plug_standin_parse(const char *name, int argc, char **argv, void **table)
+{
+	int errors;
+	size_t last = 0;
+
+	if (arg_nullcheck(table) != 0)
+		return PLUG_STANDIN_USAGE;
+	errors = arg_parse(argc, argv, table);
+	if (errors == 0)
+		return 0;
+	while (!(((struct arg_hdr *)table[last])->flag & ARG_TERMINATOR))
+		last++;
+	arg_print_errors(stderr, table[last], name);
+	(void)fprintf(stderr, "usage: plantainlug %s", name);
+	arg_print_syntax(stderr, table, "\n");
+	arg_print_glossary(stderr, table, "  %-28s %s\n");
+	return PLUG_STANDIN_USAGE;
+}
+
+/**
+ * plug_standin_poll_wait() - timeout for poll(2)
+ * @now: time
+ * @due: time of the next event, or INT64_MAX
+ * @longest: longest wait
+ *
+ * Return: milliseconds, rounded up.
+ */
+int
+plug_standin_poll_wait(plug_time now, plug_time due, plug_time longest)
+{
+	plug_time wait = due - now;
+
+	if (wait > longest)
+		wait = longest;
+	if (wait <= 0)
+		return 0;
+	return (int)((wait + PLUG_MSEC - 1) / PLUG_MSEC);
+}
