--- /dev/null
+++ b/libplantainlug/agent.c
@@ -0,0 +1,353 @@
+#include <stdlib.h>
+
+#include "agent_internal.h"
+
+#define TICK_MAX (500 * PLUG_MSEC) /* pending opens are halved as often */
+
+/**
+ * plug_agent_create() - allocate an agent
+ * @client: handlers and random numbers; must outlive the agent
+ * @config: own identity; copied
+ * @now: time
+ *
+ * The agent refuses everything until it has a view with its service.
+ *
+ * Return: the agent, or NULL when memory ran out.
+ */
+struct plug_agent *
+plug_agent_create(struct plug_client *client,
+    const struct plug_agent_config *config, plug_time now)
+{
+	struct plug_agent *agent = calloc(1, sizeof(*agent));
+
+	if (agent == NULL)
+		return NULL;
+	agent->client = client;
+	agent->config = *config;
+	agent->upstream.changed = now;
+	agent->pending_halved = now;
+	agent->reported = now;
+	TAILQ_INIT(&agent->upstream.running);
+	plug_limiter_init(&agent->limiter, now);
+	plug_retry_init(&agent->retry);
+	plug_queue_init(&agent->delayed);
+	plug_placement_init(&agent->placement);
+	if (plug_flowtable_init(&agent->flows) != PLUG_OK) {
+		free(agent);
+		return NULL;
+	}
+	plug_agent_moves_init(agent);
+	return agent;
+}
+
+/**
+ * plug_agent_destroy() - free an agent
+ * @agent: agent, or NULL
+ */
+void
+plug_agent_destroy(struct plug_agent *agent)
+{
+	struct plug_request *request;
+
+	if (agent == NULL)
+		return;
+	/* Running requests without a flow belong to nothing else. */
+	while ((request = TAILQ_FIRST(&agent->upstream.running)) != NULL) {
+		TAILQ_REMOVE(&agent->upstream.running, request, stored);
+		if (request->flow == NULL)
+			plug_request_free(request, &agent->flows.answers);
+	}
+	plug_transfer_finish(&agent->transfer);
+	plug_flowtable_finish(&agent->flows);
+	plug_limiter_finish(&agent->limiter);
+	plug_queue_finish(&agent->delayed);
+	plug_view_release(agent->view);
+	free(agent);
+}
+
+/**
+ * plug_agent_version() - document version that decisions are made under
+ * @agent: agent
+ */
+uint64_t
+plug_agent_version(const struct plug_agent *agent)
+{
+	return agent->service == NULL ? 0 : agent->service->document_version;
+}
+
+/**
+ * plug_agent_leaving() - whether the agent hands its flows away
+ * @agent: agent
+ */
+bool
+plug_agent_leaving(const struct plug_agent *agent)
+{
+	return agent->leaving.stop || agent->leaving.draining ||
+	       agent->leaving.listed;
+}
+
+/**
+ * plug_agent_upstream_down() - whether there has been no connection for long
+ * @agent: agent
+ * @now: time
+ */
+bool
+plug_agent_upstream_down(const struct plug_agent *agent, plug_time now)
+{
+	return !agent->upstream.connected &&
+	       now - agent->upstream.changed >= PLUG_UPSTREAM_GRACE;
+}
+
+/**
+ * plug_agent_load() - the agent's own load figures
+ * @agent: agent
+ * @now: time
+ * @load: result
+ */
+void
+plug_agent_load(
+    const struct plug_agent *agent, plug_time now, struct plug_load *load)
+{
+	*load = (struct plug_load){
+		.running = agent->limiter.running,
+		.queued =
+		    plug_limiter_queued(&agent->limiter) + agent->delayed.count,
+		.flows = agent->flows.open,
+		.limit = plug_limiter_limit(&agent->limiter),
+		.slots = agent->limiter.slots,
+		.leaving = plug_agent_leaving(agent),
+		.refusing = agent->service == NULL || agent->domain_out ||
+			    plug_agent_upstream_down(agent, now) ||
+			    plug_flowtable_full(&agent->flows),
+	};
+}
+
+/* Refuses everything at once, since no packet may reach the domain. */
+static void
+leave_domain(struct plug_agent *agent, plug_time now)
+{
+	struct plug_flow *flow = NULL;
+
+	plug_client_log(agent->client, PLUG_LOG_WARN,
+	    "event=domain_out flows=%u running=%u version=%llu",
+	    agent->flows.open, agent->limiter.running,
+	    (unsigned long long)plug_agent_version(agent));
+	while ((flow = plug_flowtable_next(&agent->flows, flow)) != NULL) {
+		plug_agent_refuse_queued(
+		    agent, now, flow, "domain_out", PLUG_RETRY_LATER_MS);
+		plug_agent_give_up_running(agent, now, flow);
+		plug_agent_close_flow(agent, now, flow);
+	}
+	plug_transfer_reset(&agent->transfer);
+}
+
+static void
+set_domain_out(struct plug_agent *agent, plug_time now, bool out)
+{
+	if (out == agent->domain_out)
+		return;
+	agent->domain_out = out;
+	if (out) {
+		leave_domain(agent, now);
+		return;
+	}
+	plug_client_log(agent->client, PLUG_LOG_INFO,
+	    "event=domain_in version=%llu",
+	    (unsigned long long)plug_agent_version(agent));
+	plug_agent_restart(agent, now, PLUG_RESTART_DOMAIN);
+}
+
+static void
+set_view(struct plug_agent *agent, plug_time now, struct plug_view *view)
+{
+	const struct plug_service *service =
+	    plug_view_service(view, agent->config.service);
+	const struct plug_member *self;
+	bool was_leaving = plug_agent_leaving(agent);
+
+	/* A view without the own service is kept out: decisions need one. */
+	if (service == NULL)
+		return;
+	(void)plug_view_reference(view);
+	plug_view_release(agent->view);
+	agent->view = view;
+	agent->service = service;
+	agent->flows.limit = service->document.connections;
+	plug_limiter_configure(&agent->limiter, &service->document);
+	self = plug_service_member(service, agent->config.endpoint);
+	agent->leaving.listed =
+	    self != NULL && self->state == PLUG_MEMBER_LEAVING;
+	set_domain_out(agent, now,
+	    plug_document_domain_out(&service->document, agent->config.domain));
+	plug_agent_leave_changed(agent, now, was_leaving);
+	plug_agent_dispatch(agent, now);
+}
+
+static void
+set_health(struct plug_agent *agent, plug_time now,
+    const struct plug_agent_event *event)
+{
+	bool was_leaving = plug_agent_leaving(agent);
+	enum plug_restart_signal signal = plug_limiter_health(
+	    &agent->limiter, now, event->health.uptime, event->health.load);
+
+	agent->upstream.heard = now;
+	plug_client_log(agent->client, PLUG_LOG_DEBUG,
+	    "event=upstream_health uptime=%u load=%.3f draining=%d running=%u "
+	    "limit=%u",
+	    event->health.uptime, event->health.load, event->health.draining,
+	    agent->limiter.running, plug_limiter_limit(&agent->limiter));
+	if (signal != PLUG_RESTART_NONE)
+		plug_agent_restart(agent, now, signal);
+	agent->leaving.draining = event->health.draining;
+	plug_agent_leave_changed(agent, now, was_leaving);
+}
+
+static void
+log_limit(struct plug_agent *agent)
+{
+	uint32_t limit = plug_limiter_limit(&agent->limiter);
+	const char *reason = "ramp";
+
+	if (limit == agent->logged_limit)
+		return;
+	if (agent->limiter.load_factor < 1.0)
+		reason = "published_load";
+	else if (limit < agent->logged_limit)
+		reason = "lowered";
+	plug_client_log(agent->client, PLUG_LOG_INFO,
+	    "event=limit from=%u to=%u reason=%s slots=%u running=%u queued=%u "
+	    "version=%llu",
+	    agent->logged_limit, limit, reason, agent->limiter.slots,
+	    agent->limiter.running, plug_limiter_queued(&agent->limiter),
+	    (unsigned long long)plug_agent_version(agent));
+	agent->logged_limit = limit;
+}
+
+static void
+tick(struct plug_agent *agent, plug_time now)
+{
+	plug_limiter_tick(&agent->limiter, now);
+	log_limit(agent);
+	/* Tokens that are never used must not count as flows for long. */
+	if (now - agent->pending_halved >= TICK_MAX) {
+		agent->pending_halved = now;
+		agent->pending_opens /= 2;
+	}
+	plug_agent_requests_tick(agent, now);
+	plug_agent_upstream_tick(agent, now);
+	plug_agent_moves_tick(agent, now);
+	plug_agent_dispatch(agent, now);
+}
+
+static void
+stop(struct plug_agent *agent, plug_time now)
+{
+	bool was_leaving = plug_agent_leaving(agent);
+
+	agent->leaving.stop = true;
+	plug_agent_leave_changed(agent, now, was_leaving);
+}
+
+/**
+ * plug_agent_handle() - act on one event
+ * @agent: agent
+ * @now: time; never goes back
+ * @event: event; what it points to is borrowed for the call
+ *
+ * Actions and log lines come back through the client's handlers, which must
+ * not call into the agent.
+ */
+void
+plug_agent_handle(struct plug_agent *agent, plug_time now,
+    const struct plug_agent_event *event)
+{
+	switch (event->kind) {
+	case PLUG_AGENT_TICK:
+		tick(agent, now);
+		return;
+	case PLUG_AGENT_DATAGRAM:
+		plug_agent_datagram(
+		    agent, now, event->datagram.data, event->datagram.len);
+		return;
+	case PLUG_AGENT_PEER:
+		plug_agent_peer(agent, now, event->peer);
+		return;
+	case PLUG_AGENT_VIEW:
+		set_view(agent, now, event->view);
+		return;
+	case PLUG_AGENT_UPSTREAM_OPEN:
+		plug_agent_upstream_opened(agent, now);
+		return;
+	case PLUG_AGENT_UPSTREAM_CLOSED:
+		plug_agent_upstream_lost(agent, now, "closed");
+		return;
+	case PLUG_AGENT_UPSTREAM_REPLY:
+		plug_agent_upstream_reply(agent, now, event);
+		return;
+	case PLUG_AGENT_UPSTREAM_HEALTH:
+		set_health(agent, now, event);
+		return;
+	case PLUG_AGENT_STOP:
+		stop(agent, now);
+		return;
+	}
+}
+
+/**
+ * plug_agent_counter() - read a counter
+ * @agent: agent
+ * @counter: which one
+ *
+ * Return: its value since the agent was created, 0 for an unknown counter.
+ */
+uint64_t
+plug_agent_counter(
+    const struct plug_agent *agent, enum plug_agent_counter counter)
+{
+	return counter < PLUG_COUNT_AGENT_COUNT ? agent->counters[counter] : 0;
+}
+
+/**
+ * plug_agent_counter_name() - name of a counter in the status output
+ * @counter: counter
+ */
+const char *
+plug_agent_counter_name(enum plug_agent_counter counter)
+{
+	switch (counter) {
+	case PLUG_COUNT_PACKETS:
+		return "packets";
+	case PLUG_COUNT_BAD_PACKETS:
+		return "bad_packets";
+	case PLUG_COUNT_FOREIGN:
+		return "foreign";
+	case PLUG_COUNT_OPENED:
+		return "opened";
+	case PLUG_COUNT_FORWARDED:
+		return "forwarded";
+	case PLUG_COUNT_STARTED:
+		return "started";
+	case PLUG_COUNT_ANSWERED:
+		return "answered";
+	case PLUG_COUNT_NOT_RUN:
+		return "not_run";
+	case PLUG_COUNT_UNKNOWN:
+		return "unknown";
+	case PLUG_COUNT_FLOW_LOST:
+		return "flow_lost";
+	case PLUG_COUNT_DUPLICATES:
+		return "duplicates";
+	case PLUG_COUNT_RETRIES:
+		return "retries";
+	case PLUG_COUNT_MOVED_OUT:
+		return "moved_out";
+	case PLUG_COUNT_MOVED_IN:
+		return "moved_in";
+	case PLUG_COUNT_COLD_STARTS:
+		return "cold_starts";
+	case PLUG_COUNT_AGENT_COUNT:
+		break;
+	}
+	return "invalid";
+}
--- a/libplantainlug/agent.h
+++ b/libplantainlug/agent.h
@@ -1,6 +1,7 @@
 #ifndef PLUG_AGENT_H
 #define PLUG_AGENT_H
 
+#include "placement.h"
 #include "view.h"
 
 /**
@@ -100,5 +101,7 @@
 uint64_t plug_agent_counter(
     const struct plug_agent *agent, enum plug_agent_counter counter);
 const char *plug_agent_counter_name(enum plug_agent_counter counter);
+void plug_agent_load(
+    const struct plug_agent *agent, plug_time now, struct plug_load *load);
 
 #endif
--- /dev/null
+++ b/libplantainlug/agent_request.c
@@ -0,0 +1,357 @@
+#include "agent_internal.h"
+
+/* Answers a request with "not run". Its record keeps the refusal, so that a
+ * late duplicate gets the same answer and doesn't run. */
+static void
+refuse(struct plug_agent *agent, plug_time now, struct plug_request *request,
+    const char *reason, uint32_t retry_after_ms)
+{
+	request->retry_after_ms = retry_after_ms;
+	plug_client_log(agent->client, PLUG_LOG_INFO,
+	    "event=refuse reason=%s flow=%016llx xid=%u procedure=%u "
+	    "retry_after_ms=%u running=%u queued=%u limit=%u version=%llu",
+	    reason, (unsigned long long)request->flow->id, request->xid,
+	    request->procedure, retry_after_ms, agent->limiter.running,
+	    plug_limiter_queued(&agent->limiter),
+	    plug_limiter_limit(&agent->limiter),
+	    (unsigned long long)plug_agent_version(agent));
+	plug_agent_finish(agent, now, request,
+	    request->may_have_run ? PLUG_REQUEST_UNKNOWN
+				  : PLUG_REQUEST_REFUSED);
+}
+
+static void
+take_from_queue(struct plug_agent *agent, struct plug_request *request)
+{
+	if (request->queue.index == 0)
+		return;
+	if (request->is_delayed)
+		plug_queue_remove(&agent->delayed, &request->queue);
+	else
+		plug_limiter_remove(
+		    &agent->limiter, &request->queue, request->bulk);
+	request->is_delayed = false;
+}
+
+/**
+ * plug_agent_settle() - forget requests that the caller has settled
+ * @agent: agent
+ * @flow: flow
+ * @floor: the caller's floor
+ */
+void
+plug_agent_settle(
+    struct plug_agent *agent, struct plug_flow *flow, uint32_t floor)
+{
+	struct plug_request *settled[PLUG_FLOW_WINDOW];
+	unsigned int count = plug_flow_settle(flow, floor, settled);
+
+	for (unsigned int i = 0; i < count; i++) {
+		take_from_queue(agent, settled[i]);
+		/* The reply to a running request frees it. */
+		if (settled[i]->is_running)
+			plug_agent_cancel(agent, settled[i]);
+		else
+			plug_request_free(settled[i], &agent->flows.answers);
+	}
+}
+
+/**
+ * plug_agent_refuse_queued() - give up the requests of a flow that wait
+ * @agent: agent
+ * @now: time
+ * @flow: flow
+ * @reason: why, for the log
+ * @retry_after_ms: when the caller may come back
+ */
+void
+plug_agent_refuse_queued(struct plug_agent *agent, plug_time now,
+    struct plug_flow *flow, const char *reason, uint32_t retry_after_ms)
+{
+	for (unsigned int i = 0; i < PLUG_FLOW_WINDOW; i++) {
+		struct plug_request *request = flow->window[i];
+
+		if (request == NULL || request->state != PLUG_REQUEST_QUEUED)
+			continue;
+		take_from_queue(agent, request);
+		refuse(agent, now, request, reason, retry_after_ms);
+	}
+}
+
+/**
+ * plug_agent_close_flow() - turn a flow into a tombstone
+ * @agent: agent
+ * @now: time
+ * @flow: flow; its waiting requests must have been refused
+ *
+ * Requests that still run lose their record and are freed with their reply.
+ */
+void
+plug_agent_close_flow(
+    struct plug_agent *agent, plug_time now, struct plug_flow *flow)
+{
+	plug_agent_settle(agent, flow, UINT32_MAX);
+	plug_flowtable_set_state(&agent->flows, flow, PLUG_FLOW_CLOSED, now);
+}
+
+/**
+ * plug_agent_give_up_running() - stop waiting for the running requests of a
+ * flow
+ * @agent: agent
+ * @now: time
+ * @flow: flow
+ *
+ * They may have run, so each is answered as unknown and cancelled.
+ */
+void
+plug_agent_give_up_running(
+    struct plug_agent *agent, plug_time now, struct plug_flow *flow)
+{
+	for (unsigned int i = 0; i < PLUG_FLOW_WINDOW; i++) {
+		struct plug_request *request = flow->window[i];
+
+		if (request == NULL || request->state != PLUG_REQUEST_RUNNING)
+			continue;
+		request->abandoned = true;
+		plug_agent_cancel(agent, request);
+		plug_agent_finish(agent, now, request, PLUG_REQUEST_UNKNOWN);
+	}
+}
+
+static uint32_t
+leave_retry_ms(const struct plug_agent *agent)
+{
+	return plug_transfer_busy(&agent->transfer) ? PLUG_RETRY_SOON_MS
+						    : PLUG_RETRY_LATER_MS;
+}
+
+static void
+admit(struct plug_agent *agent, plug_time now, struct plug_request *request,
+    const struct plug_call *call)
+{
+	struct plug_limiter *limiter = &agent->limiter;
+	enum plug_code code;
+
+	if (request->flow->state == PLUG_FLOW_FROZEN) {
+		refuse(agent, now, request, "moving", PLUG_RETRY_SOON_MS);
+		return;
+	}
+	if (plug_agent_leaving(agent)) {
+		refuse(agent, now, request, "leaving", leave_retry_ms(agent));
+		return;
+	}
+	if (plug_agent_upstream_down(agent, now)) {
+		refuse(agent, now, request, "no_upstream", PLUG_RETRY_LATER_MS);
+		return;
+	}
+	if (!request->idempotent &&
+	    agent->flows.answers.kept_bytes > PLUG_KEPT_BYTES_MAX) {
+		refuse(
+		    agent, now, request, "answers_full", PLUG_RETRY_LATER_MS);
+		return;
+	}
+	code = plug_request_keep(request, call->body);
+	if (code == PLUG_OK)
+		code = plug_limiter_push(
+		    limiter, &request->queue, request->deadline, request->bulk);
+	if (code == PLUG_E_FULL)
+		refuse(agent, now, request, "queue_full",
+		    plug_limiter_wait_ms(limiter));
+	else if (code != PLUG_OK)
+		refuse(agent, now, request, "memory", PLUG_RETRY_LATER_MS);
+	else
+		plug_agent_dispatch(agent, now);
+}
+
+static void
+prepare(plug_time now, struct plug_request *request,
+    const struct plug_operation *operation, const struct plug_call *call)
+{
+	uint32_t budget_ms = operation->deadline_ms;
+
+	/* A caller that states no budget gets the operation's. */
+	if (call->budget_ms > 0 && call->budget_ms < budget_ms)
+		budget_ms = call->budget_ms;
+	request->bulk = operation->class == PLUG_CLASS_BULK;
+	request->deadline = now + budget_ms * PLUG_MSEC;
+}
+
+static void
+first(struct plug_agent *agent, plug_time now, struct plug_flow *flow,
+    const struct plug_call *call, const struct plug_operation *operation)
+{
+	struct plug_request *request = plug_flow_add(flow, call->xid,
+	    call->procedure, operation != NULL && operation->idempotent);
+
+	/* Without a record nothing may run; the caller sends it again. */
+	if (request == NULL)
+		return;
+	if (operation == NULL) {
+		refuse(agent, now, request, "no_operation", 0);
+		return;
+	}
+	prepare(now, request, operation, call);
+	/* Blocks of an answer are fetched from a request that has run. */
+	if (call->offset > 0 && !operation->idempotent) {
+		plug_agent_finish(agent, now, request, PLUG_REQUEST_UNKNOWN);
+		return;
+	}
+	admit(agent, now, request, call);
+}
+
+/* Waits for the previous owner unless it has gone. */
+static void
+await_previous_owner(
+    struct plug_agent *agent, plug_time now, struct plug_request *request)
+{
+	struct plug_flow *flow = request->flow;
+
+	if (plug_service_member(agent->service, flow->peer) != NULL &&
+	    now < request->expires) {
+		request->is_wanted = true;
+		return;
+	}
+	plug_request_end(request, PLUG_REQUEST_UNKNOWN, now);
+	plug_agent_reply_block(agent, now, flow, request, 0);
+}
+
+static void
+again(struct plug_agent *agent, plug_time now, struct plug_request *request,
+    const struct plug_call *call, const struct plug_operation *operation)
+{
+	struct plug_flow *flow = request->flow;
+
+	switch (request->state) {
+	case PLUG_REQUEST_QUEUED:
+	case PLUG_REQUEST_RUNNING:
+		agent->counters[PLUG_COUNT_DUPLICATES]++;
+		return;
+	case PLUG_REQUEST_ELSEWHERE:
+		agent->counters[PLUG_COUNT_DUPLICATES]++;
+		await_previous_owner(agent, now, request);
+		return;
+	case PLUG_REQUEST_DONE:
+		/* The stored answer was dropped; the request may run again. */
+		if (request->idempotent && !request->is_stored &&
+		    operation != NULL) {
+			plug_request_reopen(request);
+			prepare(now, request, operation, call);
+			admit(agent, now, request, call);
+			return;
+		}
+		break;
+	case PLUG_REQUEST_REFUSED:
+	case PLUG_REQUEST_UNKNOWN:
+		break;
+	}
+	if (call->offset == 0)
+		agent->counters[PLUG_COUNT_DUPLICATES]++;
+	plug_agent_reply_block(agent, now, flow, request, call->offset);
+}
+
+/**
+ * plug_agent_request() - take a request on a flow that this agent owns
+ * @agent: agent
+ * @now: time
+ * @flow: open or frozen flow
+ * @call: call whose token names the flow
+ *
+ * An xid has one fate: once it was answered with "not run" it stays refused,
+ * here and at any later owner of the flow. A caller that comes back after a
+ * refusal therefore sends the request under a new xid. An xid above the window
+ * is dropped without an answer, since a refusal couldn't be recorded.
+ */
+void
+plug_agent_request(struct plug_agent *agent, plug_time now,
+    struct plug_flow *flow, const struct plug_call *call)
+{
+	const struct plug_operation *operation =
+	    plug_document_operation(&agent->service->document, call->procedure);
+	struct plug_request *request;
+
+	plug_agent_settle(agent, flow, call->floor);
+	switch (plug_flow_check(flow, call->xid)) {
+	case PLUG_OK:
+		break;
+	case PLUG_E_DUPLICATE:
+		agent->counters[PLUG_COUNT_DUPLICATES]++;
+		return;
+	default:
+		agent->counters[PLUG_COUNT_BAD_PACKETS]++;
+		return;
+	}
+	request = plug_flow_find(flow, call->xid);
+	if (request == NULL)
+		first(agent, now, flow, call, operation);
+	else
+		again(agent, now, request, call, operation);
+}
+
+static void
+refuse_all_queued(struct plug_agent *agent, plug_time now, const char *reason)
+{
+	struct plug_queue *const queues[] = { &agent->limiter.shorts,
+		&agent->limiter.bulks, &agent->delayed };
+
+	for (size_t i = 0; i < sizeof(queues) / sizeof(queues[0]); i++) {
+		struct plug_queue_entry *entry;
+
+		while ((entry = plug_queue_first(queues[i])) != NULL) {
+			struct plug_request *request =
+			    (struct plug_request *)entry;
+
+			take_from_queue(agent, request);
+			refuse(
+			    agent, now, request, reason, PLUG_RETRY_LATER_MS);
+		}
+	}
+}
+
+static void
+release_delayed(struct plug_agent *agent, plug_time now)
+{
+	struct plug_queue_entry *entry;
+
+	while ((entry = plug_queue_first(&agent->delayed)) != NULL &&
+	       entry->key <= now) {
+		struct plug_request *request = (struct plug_request *)entry;
+
+		take_from_queue(agent, request);
+		if (plug_limiter_push(&agent->limiter, &request->queue,
+			request->deadline, request->bulk) != PLUG_OK)
+			refuse(agent, now, request, "queue_full",
+			    plug_limiter_wait_ms(&agent->limiter));
+	}
+}
+
+/**
+ * plug_agent_requests_tick() - deadlines, retries and expiry
+ * @agent: agent
+ * @now: time
+ */
+void
+plug_agent_requests_tick(struct plug_agent *agent, plug_time now)
+{
+	struct plug_queue_entry *entry;
+	struct plug_flow *flow;
+
+	while ((entry = plug_limiter_expired(&agent->limiter, now)) != NULL) {
+		struct plug_request *request = (struct plug_request *)entry;
+
+		take_from_queue(agent, request);
+		refuse(agent, now, request, "deadline",
+		    plug_limiter_wait_ms(&agent->limiter));
+	}
+	release_delayed(agent, now);
+	if (plug_agent_upstream_down(agent, now))
+		refuse_all_queued(agent, now, "no_upstream");
+	plug_answers_expire(&agent->flows.answers, now);
+	while ((flow = plug_flowtable_sweep(&agent->flows, now)) != NULL) {
+		if (flow->state == PLUG_FLOW_OPEN) {
+			plug_agent_close_flow(agent, now, flow);
+			continue;
+		}
+		plug_agent_settle(agent, flow, UINT32_MAX);
+		plug_flowtable_remove(&agent->flows, flow);
+	}
+}
--- /dev/null
+++ b/libplantainlug/flowtable.c
@@ -0,0 +1,211 @@
+#include <stdlib.h>
+
+#include "flowtable.h"
+
+#define BUCKETS	      4096 /* power of two; twice the default flow limit */
+#define SWEEP_BUCKETS 64   /* buckets looked at in one sweep */
+
+/* Closed and moved flows and minted tokens may exceed the limit of open flows
+ * by this factor before new flows are lost. */
+#define TOTAL_FACTOR 4
+
+/**
+ * plug_flowtable_init() - prepare an empty table
+ * @table: table to fill
+ *
+ * Return: PLUG_OK or PLUG_E_MEMORY.
+ */
+enum plug_code
+plug_flowtable_init(struct plug_flowtable *table)
+{
+	*table = (struct plug_flowtable){
+		.bucket_count = BUCKETS,
+		.limit = PLUG_FLOWS_DEFAULT,
+		.buckets = calloc(BUCKETS, sizeof(struct plug_flow *)),
+	};
+	plug_answers_init(&table->answers);
+	return table->buckets == NULL ? PLUG_E_MEMORY : PLUG_OK;
+}
+
+/**
+ * plug_flowtable_finish() - free the table and its flows
+ * @table: table; no request of its flows is queued or running
+ */
+void
+plug_flowtable_finish(struct plug_flowtable *table)
+{
+	if (table->buckets == NULL)
+		return;
+	for (unsigned int i = 0; i < table->bucket_count; i++) {
+		while (table->buckets[i] != NULL)
+			plug_flowtable_remove(table, table->buckets[i]);
+	}
+	free(table->buckets);
+	table->buckets = NULL;
+}
+
+/* Flow ids are random, so their low bits spread evenly. */
+static struct plug_flow **
+bucket_of(const struct plug_flowtable *table, uint64_t id)
+{
+	return &table->buckets[id & (table->bucket_count - 1)];
+}
+
+/**
+ * plug_flowtable_find() - find a flow in any state
+ * @table: table
+ * @id: flow id
+ *
+ * Return: the flow or NULL.
+ */
+struct plug_flow *
+plug_flowtable_find(const struct plug_flowtable *table, uint64_t id)
+{
+	struct plug_flow *flow = *bucket_of(table, id);
+
+	while (flow != NULL && flow->id != id)
+		flow = flow->next;
+	return flow;
+}
+
+/**
+ * plug_flowtable_full() - whether the document allows no further flow
+ * @table: table
+ */
+bool
+plug_flowtable_full(const struct plug_flowtable *table)
+{
+	return table->open >= table->limit ||
+	       table->total >= TOTAL_FACTOR * table->limit;
+}
+
+static bool
+counts_as_open(enum plug_flow_state state)
+{
+	return state == PLUG_FLOW_OPEN || state == PLUG_FLOW_FROZEN;
+}
+
+/**
+ * plug_flowtable_insert() - add a flow whose id isn't in the table
+ * @table: table, which owns the flow from now on
+ * @flow: flow
+ *
+ * The caller has checked plug_flowtable_full(), or has reserved the room by
+ * accepting the flow from a sibling.
+ */
+void
+plug_flowtable_insert(struct plug_flowtable *table, struct plug_flow *flow)
+{
+	struct plug_flow **bucket = bucket_of(table, flow->id);
+
+	flow->next = *bucket;
+	*bucket = flow;
+	table->total++;
+	if (counts_as_open(flow->state))
+		table->open++;
+}
+
+/**
+ * plug_flowtable_remove() - take a flow out and free it
+ * @table: table
+ * @flow: one of its flows; none of its requests is queued or running
+ */
+void
+plug_flowtable_remove(struct plug_flowtable *table, struct plug_flow *flow)
+{
+	struct plug_flow **link = bucket_of(table, flow->id);
+
+	while (*link != flow)
+		link = &(*link)->next;
+	*link = flow->next;
+	table->total--;
+	if (counts_as_open(flow->state))
+		table->open--;
+	plug_flow_destroy(flow, &table->answers);
+}
+
+/**
+ * plug_flowtable_set_state() - change the state of a flow
+ * @table: table
+ * @flow: one of its flows
+ * @state: new state
+ * @now: time
+ */
+void
+plug_flowtable_set_state(struct plug_flowtable *table, struct plug_flow *flow,
+    enum plug_flow_state state, plug_time now)
+{
+	if (counts_as_open(flow->state))
+		table->open--;
+	if (counts_as_open(state))
+		table->open++;
+	flow->state = state;
+	flow->closed = now;
+}
+
+/**
+ * plug_flowtable_next() - iterate over all flows
+ * @table: table; the current flow may not be removed while iterating
+ * @flow: current flow, or NULL to start
+ *
+ * Return: the next flow, or NULL at the end.
+ */
+struct plug_flow *
+plug_flowtable_next(
+    const struct plug_flowtable *table, const struct plug_flow *flow)
+{
+	unsigned int i = 0;
+
+	if (flow != NULL) {
+		if (flow->next != NULL)
+			return flow->next;
+		i = (unsigned int)(flow->id & (table->bucket_count - 1)) + 1;
+	}
+	for (; i < table->bucket_count; i++) {
+		if (table->buckets[i] != NULL)
+			return table->buckets[i];
+	}
+	return NULL;
+}
+
+static bool
+expired(const struct plug_flow *flow, plug_time now)
+{
+	switch (flow->state) {
+	case PLUG_FLOW_OPEN:
+		return flow->active == 0 && now - flow->seen >= PLUG_FLOW_IDLE;
+	case PLUG_FLOW_FROZEN:
+	case PLUG_FLOW_COMMITTING:
+		return false;
+	case PLUG_FLOW_MOVED:
+		return flow->active == 0 &&
+		       now - flow->closed >= PLUG_FLOW_IDLE &&
+		       now - flow->seen >= PLUG_FLOW_IDLE;
+	case PLUG_FLOW_CLOSED:
+		return now - flow->closed >= PLUG_TOMBSTONE_KEEP;
+	}
+	return false;
+}
+
+/**
+ * plug_flowtable_sweep() - find a flow whose time is over
+ * @table: table
+ * @now: time
+ *
+ * Looks at a part of the table for each call that returns NULL. Return: an
+ * idle open flow to close, or a moved or closed one to remove; or NULL.
+ */
+struct plug_flow *
+plug_flowtable_sweep(struct plug_flowtable *table, plug_time now)
+{
+	for (unsigned int i = 0; i < SWEEP_BUCKETS; i++) {
+		struct plug_flow *flow = table->buckets[table->cursor];
+
+		for (; flow != NULL; flow = flow->next) {
+			if (expired(flow, now))
+				return flow;
+		}
+		table->cursor = (table->cursor + 1) & (table->bucket_count - 1);
+	}
+	return NULL;
+}
--- /dev/null
+++ b/libplantainlug/limiter.c
@@ -0,0 +1,424 @@
+#include "limiter.h"
+
+/* The ramp stands still when no request has succeeded for this long. */
+#define RAMP_SUCCESS_WINDOW PLUG_SEC
+
+#define LEARNED_SAMPLES	   32 /* requests before a median is trusted */
+#define MEDIAN_STEP	   32 /* a sample moves the median by 1/32 of it */
+#define SLOW_FACTOR	   3  /* times the median that count as slow */
+#define SLOW_COUNT	   5  /* consecutive slow requests: a restart */
+#define SLOW_MIN	   (2 * PLUG_MSEC) /* scheduling noise, never slow */
+#define PEAK_PERIOD	   (10 * PLUG_SEC) /* published load lags as much */
+#define LOAD_MARGIN	   0.25 /* published above own use that is ignored */
+#define LOAD_FACTOR_MIN	   0.5	/* published load may halve the limit */
+#define DEFAULT_SERVICE_US (50 * PLUG_MSEC) /* until a median is learned */
+#define WAIT_MIN_MS	   50
+#define WAIT_MAX_MS	   2000
+
+/**
+ * plug_limiter_init() - prepare a limiter that admits nothing
+ * @limiter: limiter to fill; plug_limiter_configure() gives it slots
+ * @now: time
+ */
+void
+plug_limiter_init(struct plug_limiter *limiter, plug_time now)
+{
+	*limiter = (struct plug_limiter){
+		.ticked = now,
+		.peak_start = now,
+		.load_factor = 1.0,
+	};
+	plug_queue_init(&limiter->shorts);
+	plug_queue_init(&limiter->bulks);
+}
+
+/**
+ * plug_limiter_finish() - free the queues; the entries belong to the caller
+ * @limiter: limiter
+ */
+void
+plug_limiter_finish(struct plug_limiter *limiter)
+{
+	plug_queue_finish(&limiter->shorts);
+	plug_queue_finish(&limiter->bulks);
+}
+
+/**
+ * plug_limiter_configure() - adopt the figures of a document
+ * @limiter: limiter; its ramp and learned times stay
+ * @document: document in force
+ */
+void
+plug_limiter_configure(
+    struct plug_limiter *limiter, const struct plug_document *document)
+{
+	plug_time cold_time = document->cold_seconds * PLUG_SEC;
+
+	/* A ramp in progress keeps its proportion. */
+	if (limiter->cold_time > 0)
+		limiter->ramp =
+		    (plug_time)((double)limiter->ramp /
+				(double)limiter->cold_time * (double)cold_time);
+	limiter->cold_time = cold_time;
+	limiter->slots = document->slots;
+	limiter->cold_slots = document->cold_slots < document->slots
+				  ? document->cold_slots
+				  : document->slots;
+	limiter->bulk_share = document->bulk_share;
+	limiter->queue_max = document->queue;
+}
+
+/**
+ * plug_limiter_tick() - advance the ramp
+ * @limiter: limiter
+ * @now: time
+ */
+void
+plug_limiter_tick(struct plug_limiter *limiter, plug_time now)
+{
+	plug_time elapsed = now - limiter->ticked;
+	double use;
+
+	limiter->ticked = now;
+	if (limiter->ramping &&
+	    now - limiter->succeeded < RAMP_SUCCESS_WINDOW) {
+		/* A paused process must not skip a part of the ramp. */
+		limiter->ramp += elapsed < RAMP_SUCCESS_WINDOW
+				     ? elapsed
+				     : RAMP_SUCCESS_WINDOW;
+		if (limiter->ramp > limiter->cold_time)
+			limiter->ramp = limiter->cold_time;
+	}
+	if (now - limiter->peak_start >= PEAK_PERIOD) {
+		limiter->peak_start = now;
+		limiter->peak[1] = limiter->peak[0];
+		limiter->peak[0] = 0;
+	}
+	if (limiter->slots == 0)
+		return;
+	use = (double)limiter->running / limiter->slots;
+	if (use > limiter->peak[0])
+		limiter->peak[0] = use;
+}
+
+/**
+ * plug_limiter_limit() - requests that may run at a time now
+ * @limiter: limiter
+ *
+ * Return: 0 before plug_limiter_configure(), then at least 1.
+ */
+uint32_t
+plug_limiter_limit(const struct plug_limiter *limiter)
+{
+	uint32_t limit = limiter->slots;
+
+	if (limit == 0)
+		return 0;
+	if (limiter->ramp < limiter->cold_time)
+		limit = limiter->cold_slots +
+			(uint32_t)((limiter->slots - limiter->cold_slots) *
+				   limiter->ramp / limiter->cold_time);
+	limit = (uint32_t)(limit * limiter->load_factor + 0.5);
+	return limit > 0 ? limit : 1;
+}
+
+/**
+ * plug_limiter_queued() - requests that wait
+ * @limiter: limiter
+ */
+uint32_t
+plug_limiter_queued(const struct plug_limiter *limiter)
+{
+	return limiter->shorts.count + limiter->bulks.count;
+}
+
+/**
+ * plug_limiter_push() - add a request to the queue
+ * @limiter: limiter
+ * @entry: entry that isn't queued
+ * @deadline: time that orders the queue
+ * @bulk: class of the request
+ *
+ * A request that can start at once passes through the queue as well, so a full
+ * queue still admits as many as there are free slots.
+ *
+ * Return: PLUG_OK, PLUG_E_FULL or PLUG_E_MEMORY.
+ */
+enum plug_code
+plug_limiter_push(struct plug_limiter *limiter, struct plug_queue_entry *entry,
+    plug_time deadline, bool bulk)
+{
+	uint32_t limit = plug_limiter_limit(limiter);
+	uint32_t idle = limit > limiter->running ? limit - limiter->running : 0;
+
+	if (plug_limiter_queued(limiter) >= limiter->queue_max + idle)
+		return PLUG_E_FULL;
+	return plug_queue_push(
+	    bulk ? &limiter->bulks : &limiter->shorts, entry, deadline);
+}
+
+/**
+ * plug_limiter_remove() - take a waiting request out
+ * @limiter: limiter
+ * @entry: queued entry
+ * @bulk: class of the request
+ */
+void
+plug_limiter_remove(
+    struct plug_limiter *limiter, struct plug_queue_entry *entry, bool bulk)
+{
+	plug_queue_remove(bulk ? &limiter->bulks : &limiter->shorts, entry);
+}
+
+/**
+ * plug_limiter_expired() - a waiting request whose deadline has passed
+ * @limiter: limiter
+ * @now: time
+ *
+ * Return: the entry, still queued, or NULL.
+ */
+struct plug_queue_entry *
+plug_limiter_expired(const struct plug_limiter *limiter, plug_time now)
+{
+	struct plug_queue_entry *entry = plug_queue_first(&limiter->shorts);
+
+	if (entry != NULL && entry->key <= now)
+		return entry;
+	entry = plug_queue_first(&limiter->bulks);
+	return entry != NULL && entry->key <= now ? entry : NULL;
+}
+
+/*
+ * Bulk work leaves at least one slot to short work. When a cold upstream has a
+ * single slot, bulk work may use it if no short work waits; otherwise a
+ * service with bulk work only could never ramp up.
+ */
+static bool
+bulk_may_start(const struct plug_limiter *limiter, uint32_t limit)
+{
+	uint32_t max = (uint32_t)(limiter->bulk_share * limit);
+
+	if (limit == 1)
+		return limiter->slots == 1 || limiter->shorts.count == 0;
+	if (max == 0)
+		max = 1;
+	if (max > limit - 1)
+		max = limit - 1;
+	return limiter->bulk_running < max;
+}
+
+/**
+ * plug_limiter_next() - take the request that shall start now
+ * @limiter: limiter, which counts it as running until plug_limiter_ended()
+ *
+ * The earliest deadline goes first, within the limit and the share of bulk
+ * work. Return: the entry, no longer queued, or NULL.
+ */
+struct plug_queue_entry *
+plug_limiter_next(struct plug_limiter *limiter)
+{
+	struct plug_queue_entry *entry = plug_queue_first(&limiter->shorts);
+	struct plug_queue_entry *bulk = plug_queue_first(&limiter->bulks);
+	uint32_t limit = plug_limiter_limit(limiter);
+
+	if (limiter->running >= limit)
+		return NULL;
+	if (bulk != NULL && bulk_may_start(limiter, limit) &&
+	    (entry == NULL || bulk->key < entry->key)) {
+		plug_queue_remove(&limiter->bulks, bulk);
+		limiter->bulk_running++;
+		limiter->running++;
+		return bulk;
+	}
+	if (entry == NULL)
+		return NULL;
+	plug_queue_remove(&limiter->shorts, entry);
+	limiter->running++;
+	return entry;
+}
+
+/**
+ * plug_limiter_ended() - give back the slot of a request
+ * @limiter: limiter
+ * @bulk: class of the request
+ */
+void
+plug_limiter_ended(struct plug_limiter *limiter, bool bulk)
+{
+	limiter->running--;
+	if (bulk)
+		limiter->bulk_running--;
+}
+
+static struct plug_service_time *
+find_time(struct plug_limiter *limiter, uint32_t procedure)
+{
+	unsigned int i;
+
+	for (i = 0; i < PLUG_OPERATIONS_MAX; i++) {
+		if (limiter->times[i].procedure == procedure)
+			return &limiter->times[i];
+		if (limiter->times[i].procedure == 0)
+			break;
+	}
+	/* A document change may bring more operations than there is room. */
+	if (i == PLUG_OPERATIONS_MAX)
+		i = 0;
+	limiter->times[i] =
+	    (struct plug_service_time){ .procedure = procedure };
+	return &limiter->times[i];
+}
+
+/* Moves the estimate by a fixed fraction towards each sample, which settles
+ * where half of the samples lie on each side. */
+static void
+learn(struct plug_service_time *time, plug_time elapsed)
+{
+	plug_time step = time->median_us / MEDIAN_STEP + 1;
+
+	if (time->samples < LEARNED_SAMPLES)
+		time->samples++;
+	if (time->samples == 1)
+		time->median_us = elapsed;
+	else if (elapsed > time->median_us)
+		time->median_us += step;
+	else if (elapsed < time->median_us)
+		time->median_us -= step;
+}
+
+/**
+ * plug_limiter_sample() - learn from a request that ran to its end
+ * @limiter: limiter
+ * @now: time
+ * @procedure: operation
+ * @elapsed: time at the upstream
+ * @in_time: it ended before its deadline
+ *
+ * Return: PLUG_RESTART_SLOW when the last requests were all slow.
+ */
+enum plug_restart_signal
+plug_limiter_sample(struct plug_limiter *limiter, plug_time now,
+    uint32_t procedure, plug_time elapsed, bool in_time)
+{
+	struct plug_service_time *time = find_time(limiter, procedure);
+	bool slow = time->samples >= LEARNED_SAMPLES && elapsed > SLOW_MIN &&
+		    elapsed > SLOW_FACTOR * time->median_us;
+
+	learn(time, elapsed);
+	limiter->ramping = in_time;
+	if (in_time)
+		limiter->succeeded = now;
+	limiter->slow = slow ? limiter->slow + 1 : 0;
+	if (limiter->slow < SLOW_COUNT)
+		return PLUG_RESTART_NONE;
+	limiter->slow = 0;
+	return PLUG_RESTART_SLOW;
+}
+
+/**
+ * plug_limiter_failed() - stop the ramp until a request succeeds in time
+ * @limiter: limiter
+ */
+void
+plug_limiter_failed(struct plug_limiter *limiter)
+{
+	limiter->ramping = false;
+}
+
+/**
+ * plug_limiter_health() - take note of what the upstream publishes
+ * @limiter: limiter
+ * @now: time
+ * @uptime: seconds since the upstream started
+ * @load: share of its capacity that it says is in use
+ *
+ * The published load lags and may be false. It lowers the limit only by what
+ * it exceeds the own use of the last 10 s to 20 s, and by half at most.
+ *
+ * Return: PLUG_RESTART_UPTIME when the uptime decreased.
+ */
+enum plug_restart_signal
+plug_limiter_health(
+    struct plug_limiter *limiter, plug_time now, uint32_t uptime, double load)
+{
+	bool restarted = limiter->has_uptime && uptime < limiter->uptime;
+	double own = limiter->peak[0] > limiter->peak[1] ? limiter->peak[0]
+							 : limiter->peak[1];
+	double excess = load - own - LOAD_MARGIN;
+
+	plug_limiter_tick(limiter, now);
+	limiter->has_uptime = true;
+	limiter->uptime = uptime;
+	limiter->load_factor = 1.0;
+	if (excess > 0)
+		limiter->load_factor = 1.0 - excess;
+	if (limiter->load_factor < LOAD_FACTOR_MIN)
+		limiter->load_factor = LOAD_FACTOR_MIN;
+	return restarted ? PLUG_RESTART_UPTIME : PLUG_RESTART_NONE;
+}
+
+/**
+ * plug_limiter_restart() - go back to the cold limit
+ * @limiter: limiter
+ * @now: time
+ *
+ * Return: whether the ramp had begun, so that the limit may have changed.
+ */
+bool
+plug_limiter_restart(struct plug_limiter *limiter, plug_time now)
+{
+	bool warm = limiter->ramp > 0;
+
+	limiter->ramp = 0;
+	limiter->ramping = false;
+	limiter->ticked = now;
+	limiter->slow = 0;
+	return warm;
+}
+
+/**
+ * plug_limiter_wait_ms() - estimate when a refused request may come back
+ * @limiter: limiter
+ *
+ * Return: milliseconds, 50 to 2000.
+ */
+uint32_t
+plug_limiter_wait_ms(const struct plug_limiter *limiter)
+{
+	plug_time service = DEFAULT_SERVICE_US;
+	uint32_t limit = plug_limiter_limit(limiter);
+	plug_time wait;
+
+	if (limit == 0)
+		return WAIT_MAX_MS;
+	if (limiter->times[0].samples > 0)
+		service = limiter->times[0].median_us;
+	wait = (plug_limiter_queued(limiter) + 1) * service / limit / PLUG_MSEC;
+	if (wait < WAIT_MIN_MS)
+		return WAIT_MIN_MS;
+	return wait > WAIT_MAX_MS ? WAIT_MAX_MS : (uint32_t)wait;
+}
+
+/**
+ * plug_restart_signal_name() - name of a signal in logs
+ * @signal: signal
+ */
+const char *
+plug_restart_signal_name(enum plug_restart_signal signal)
+{
+	switch (signal) {
+	case PLUG_RESTART_NONE:
+		return "none";
+	case PLUG_RESTART_CONNECTION:
+		return "connection_reset";
+	case PLUG_RESTART_UPTIME:
+		return "uptime_decreased";
+	case PLUG_RESTART_SLOW:
+		return "service_time";
+	case PLUG_RESTART_SHED:
+		return "upstream_shed";
+	case PLUG_RESTART_DOMAIN:
+		return "domain_returned";
+	}
+	return "invalid";
+}
--- /dev/null
+++ b/libplantainlug/limiter.h
@@ -0,0 +1,99 @@
+#ifndef PLUG_LIMITER_H
+#define PLUG_LIMITER_H
+
+#include "document.h"
+#include "queue.h"
+
+/* Why a limiter went back to the cold limit; the names appear in logs. */
+enum plug_restart_signal {
+	PLUG_RESTART_NONE,
+	PLUG_RESTART_CONNECTION, /* the connection was reset */
+	PLUG_RESTART_UPTIME,	 /* the reported uptime decreased */
+	PLUG_RESTART_SLOW,	 /* consecutive requests were slow */
+	PLUG_RESTART_SHED,	 /* the upstream refused work */
+	PLUG_RESTART_DOMAIN,	 /* the own domain returned to service */
+};
+
+/**
+ * struct plug_service_time - learned service time of one operation
+ * @procedure: operation; 0 while unused
+ * @samples: requests seen, no more counted once the median is learned
+ * @median_us: running estimate of the median in microseconds
+ */
+struct plug_service_time {
+	uint32_t procedure;
+	unsigned int samples;
+	plug_time median_us;
+};
+
+/**
+ * struct plug_limiter - the concurrency limit of one upstream and its queue
+ * @slots: requests that a warm upstream runs at a time
+ * @cold_slots: requests that a cold one runs at a time
+ * @cold_time: length of the ramp
+ * @bulk_share: share of the limit that bulk work may use
+ * @queue_max: requests that may wait
+ * @running: requests at the upstream
+ * @bulk_running: those of class bulk
+ * @shorts: waiting short requests by deadline
+ * @bulks: waiting bulk requests by deadline
+ * @ramp: part of the ramp that is complete, 0 to @cold_time
+ * @ticked: time of the last plug_limiter_tick()
+ * @succeeded: time of the last request that succeeded in time
+ * @ramping: no request has failed since @succeeded
+ * @load_factor: 0.5 to 1, from the published load
+ * @has_uptime: @uptime is valid
+ * @uptime: last reported uptime in seconds
+ * @peak: highest own use of slots in the current and the previous period
+ * @peak_start: start of the current period
+ * @slow: consecutive slow requests
+ * @times: learned service times
+ */
+struct plug_limiter {
+	uint32_t slots;
+	uint32_t cold_slots;
+	plug_time cold_time;
+	double bulk_share;
+	uint32_t queue_max;
+	uint32_t running;
+	uint32_t bulk_running;
+	struct plug_queue shorts;
+	struct plug_queue bulks;
+	plug_time ramp;
+	plug_time ticked;
+	plug_time succeeded;
+	bool ramping;
+	double load_factor;
+	bool has_uptime;
+	uint32_t uptime;
+	double peak[2];
+	plug_time peak_start;
+	unsigned int slow;
+	struct plug_service_time times[PLUG_OPERATIONS_MAX];
+};
+
+void plug_limiter_init(struct plug_limiter *limiter, plug_time now);
+void plug_limiter_finish(struct plug_limiter *limiter);
+void plug_limiter_configure(
+    struct plug_limiter *limiter, const struct plug_document *document);
+void plug_limiter_tick(struct plug_limiter *limiter, plug_time now);
+uint32_t plug_limiter_limit(const struct plug_limiter *limiter);
+uint32_t plug_limiter_queued(const struct plug_limiter *limiter);
+enum plug_code plug_limiter_push(struct plug_limiter *limiter,
+    struct plug_queue_entry *entry, plug_time deadline, bool bulk);
+void plug_limiter_remove(
+    struct plug_limiter *limiter, struct plug_queue_entry *entry, bool bulk);
+struct plug_queue_entry *
+plug_limiter_expired(const struct plug_limiter *limiter, plug_time now);
+struct plug_queue_entry *plug_limiter_next(struct plug_limiter *limiter);
+void plug_limiter_ended(struct plug_limiter *limiter, bool bulk);
+enum plug_restart_signal plug_limiter_sample(struct plug_limiter *limiter,
+    plug_time now, uint32_t procedure, plug_time elapsed, bool in_time);
+void plug_limiter_failed(struct plug_limiter *limiter);
+enum plug_restart_signal plug_limiter_health(
+    struct plug_limiter *limiter, plug_time now, uint32_t uptime, double load);
+bool plug_limiter_restart(struct plug_limiter *limiter, plug_time now);
+uint32_t plug_limiter_wait_ms(const struct plug_limiter *limiter);
+const char *plug_restart_signal_name(enum plug_restart_signal signal);
+
+#endif
--- /dev/null
+++ b/libplantainlug/queue.h
@@ -0,0 +1,39 @@
+#ifndef PLUG_QUEUE_H
+#define PLUG_QUEUE_H
+
+#include "client.h"
+#include "status.h"
+
+/**
+ * struct plug_queue_entry - member of a queue, embedded in what is queued
+ * @key: time that orders the queue, earliest first
+ * @sequence: order among equal keys
+ * @index: place in the heap, counted from 1; 0 when not queued
+ */
+struct plug_queue_entry {
+	plug_time key;
+	uint64_t sequence;
+	unsigned int index;
+};
+
+/**
+ * struct plug_queue - priority queue by time, a binary heap
+ * @entries: heap, @count of @capacity entries in use
+ * @sequence: number of entries pushed so far
+ */
+struct plug_queue {
+	struct plug_queue_entry **entries;
+	unsigned int count;
+	unsigned int capacity;
+	uint64_t sequence;
+};
+
+void plug_queue_init(struct plug_queue *queue);
+void plug_queue_finish(struct plug_queue *queue);
+enum plug_code plug_queue_push(
+    struct plug_queue *queue, struct plug_queue_entry *entry, plug_time key);
+struct plug_queue_entry *plug_queue_first(const struct plug_queue *queue);
+void
+plug_queue_remove(struct plug_queue *queue, struct plug_queue_entry *entry);
+
+#endif
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &plug__prepared__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   plug__refused_request__init
+                     (Plug__RefusedRequest         *message)
+{
+  static const Plug__RefusedRequest init_value = PLUG__REFUSED_REQUEST__INIT;
+  *message = init_value;
+}
+size_t plug__refused_request__get_packed_size
+                     (const Plug__RefusedRequest *message)
+{
+  assert(message->base.descriptor == &plug__refused_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t plug__refused_request__pack
+                     (const Plug__RefusedRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &plug__refused_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t plug__refused_request__pack_to_buffer
+                     (const Plug__RefusedRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &plug__refused_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Plug__RefusedRequest *
+       plug__refused_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Plug__RefusedRequest *)
+     protobuf_c_message_unpack (&plug__refused_request__descriptor,
+                                allocator, len, data);
+}
+void   plug__refused_request__free_unpacked
+                     (Plug__RefusedRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &plug__refused_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   plug__commit__init
                      (Plug__Commit         *message)
 {
@@ -1323,7 +1368,7 @@
   (ProtobufCMessageInit) plug__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__request_record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor plug__request_record__field_descriptors[5] =
 {
   {
     "xid",
@@ -1373,9 +1418,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idempotent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Plug__RequestRecord, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__request_record__field_indices_by_name[] = {
   3,   /* field[3] = answer */
+  4,   /* field[4] = idempotent */
   2,   /* field[2] = outcome */
   1,   /* field[1] = state */
   0,   /* field[0] = xid */
@@ -1383,7 +1441,7 @@
 static const ProtobufCIntRange plug__request_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor plug__request_record__descriptor =
 {
@@ -1393,7 +1451,7 @@
   "Plug__RequestRecord",
   "plug",
   sizeof(Plug__RequestRecord),
-  4,
+  5,
   plug__request_record__field_descriptors,
   plug__request_record__field_indices_by_name,
   1,  plug__request_record__number_ranges,
@@ -1605,7 +1663,58 @@
   (ProtobufCMessageInit) plug__prepared__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__commit__field_descriptors[1] =
+static const ProtobufCFieldDescriptor plug__refused_request__field_descriptors[2] =
+{
+  {
+    "flow",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Plug__RefusedRequest, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "xid",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__RefusedRequest, xid),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned plug__refused_request__field_indices_by_name[] = {
+  0,   /* field[0] = flow */
+  1,   /* field[1] = xid */
+};
+static const ProtobufCIntRange plug__refused_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor plug__refused_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "plug.RefusedRequest",
+  "RefusedRequest",
+  "Plug__RefusedRequest",
+  "plug",
+  sizeof(Plug__RefusedRequest),
+  2,
+  plug__refused_request__field_descriptors,
+  plug__refused_request__field_indices_by_name,
+  1,  plug__refused_request__number_ranges,
+  (ProtobufCMessageInit) plug__refused_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor plug__commit__field_descriptors[2] =
 {
   {
     "batch",
@@ -1619,14 +1728,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Plug__Commit, n_refused),
+    offsetof(Plug__Commit, refused),
+    &plug__refused_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__commit__field_indices_by_name[] = {
   0,   /* field[0] = batch */
+  1,   /* field[1] = refused */
 };
 static const ProtobufCIntRange plug__commit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor plug__commit__descriptor =
 {
@@ -1636,7 +1758,7 @@
   "Plug__Commit",
   "plug",
   sizeof(Plug__Commit),
-  1,
+  2,
   plug__commit__field_descriptors,
   plug__commit__field_indices_by_name,
   1,  plug__commit__number_ranges,
@@ -1732,7 +1854,7 @@
   (ProtobufCMessageInit) plug__abort__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__completion__field_descriptors[4] =
+static const ProtobufCFieldDescriptor plug__completion__field_descriptors[5] =
 {
   {
     "flow",
@@ -1782,17 +1904,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idempotent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Completion, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__completion__field_indices_by_name[] = {
   3,   /* field[3] = answer */
   0,   /* field[0] = flow */
+  4,   /* field[4] = idempotent */
   2,   /* field[2] = outcome */
   1,   /* field[1] = xid */
 };
 static const ProtobufCIntRange plug__completion__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor plug__completion__descriptor =
 {
@@ -1802,7 +1937,7 @@
   "Plug__Completion",
   "plug",
   sizeof(Plug__Completion),
-  4,
+  5,
   plug__completion__field_descriptors,
   plug__completion__field_indices_by_name,
   1,  plug__completion__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Plug__FlowRecord Plug__FlowRecord;
 typedef struct Plug__Prepare Plug__Prepare;
 typedef struct Plug__Prepared Plug__Prepared;
+typedef struct Plug__RefusedRequest Plug__RefusedRequest;
 typedef struct Plug__Commit Plug__Commit;
 typedef struct Plug__Committed Plug__Committed;
 typedef struct Plug__Abort Plug__Abort;
@@ -169,10 +170,11 @@
   Plug__RequestState state;
   uint32_t outcome;
   ProtobufCBinaryData answer;
+  protobuf_c_boolean idempotent;
 };
 #define PLUG__REQUEST_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__request_record__descriptor) \
-    , 0, PLUG__REQUEST_STATE__REQUEST_REFUSED, 0, {0,NULL} }
+    , 0, PLUG__REQUEST_STATE__REQUEST_REFUSED, 0, {0,NULL}, 0 }
 
 
 struct  Plug__FlowRecord
@@ -219,14 +221,35 @@
     , 0, 0,NULL }
 
 
+/*
+ * RefusedRequest names a request that the source refused after PREPARE.
+ */
+struct  Plug__RefusedRequest
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  uint32_t xid;
+};
+#define PLUG__REFUSED_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__refused_request__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Commit makes the target the owner. It lists what the source has refused
+ * since PREPARE, so that no late duplicate of a refused request runs at the
+ * target.
+ */
 struct  Plug__Commit
 {
   ProtobufCMessage base;
   uint64_t batch;
+  size_t n_refused;
+  Plug__RefusedRequest **refused;
 };
 #define PLUG__COMMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__commit__descriptor) \
-    , 0 }
+    , 0, 0,NULL }
 
 
 /*
@@ -255,7 +278,9 @@
 
 
 /*
- * Completion reports the end of a request that ran at the previous owner.
+ * Completion reports the end of a request that ran at the previous owner. With
+ * xid 0 it goes from the new owner to the previous one and reports that the
+ * caller uses the new token.
  */
 struct  Plug__Completion
 {
@@ -264,10 +289,11 @@
   uint32_t xid;
   uint32_t outcome;
   ProtobufCBinaryData answer;
+  protobuf_c_boolean idempotent;
 };
 #define PLUG__COMPLETION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__completion__descriptor) \
-    , 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, {0,NULL}, 0 }
 
 
 typedef enum {
@@ -540,6 +566,25 @@
 void   plug__prepared__free_unpacked
                      (Plug__Prepared *message,
                       ProtobufCAllocator *allocator);
+/* Plug__RefusedRequest methods */
+void   plug__refused_request__init
+                     (Plug__RefusedRequest         *message);
+size_t plug__refused_request__get_packed_size
+                     (const Plug__RefusedRequest   *message);
+size_t plug__refused_request__pack
+                     (const Plug__RefusedRequest   *message,
+                      uint8_t             *out);
+size_t plug__refused_request__pack_to_buffer
+                     (const Plug__RefusedRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__RefusedRequest *
+       plug__refused_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__refused_request__free_unpacked
+                     (Plug__RefusedRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Plug__Commit methods */
 void   plug__commit__init
                      (Plug__Commit         *message);
@@ -673,6 +718,9 @@
 typedef void (*Plug__Prepared_Closure)
                  (const Plug__Prepared *message,
                   void *closure_data);
+typedef void (*Plug__RefusedRequest_Closure)
+                 (const Plug__RefusedRequest *message,
+                  void *closure_data);
 typedef void (*Plug__Commit_Closure)
                  (const Plug__Commit *message,
                   void *closure_data);
@@ -707,6 +755,7 @@
 extern const ProtobufCMessageDescriptor plug__flow_record__descriptor;
 extern const ProtobufCMessageDescriptor plug__prepare__descriptor;
 extern const ProtobufCMessageDescriptor plug__prepared__descriptor;
+extern const ProtobufCMessageDescriptor plug__refused_request__descriptor;
 extern const ProtobufCMessageDescriptor plug__commit__descriptor;
 extern const ProtobufCMessageDescriptor plug__committed__descriptor;
 extern const ProtobufCMessageDescriptor plug__abort__descriptor;
