--- /dev/null
+++ b/cli/commands.h
@@ -0,0 +1,31 @@
+#ifndef PLUG_COMMANDS_H
+#define PLUG_COMMANDS_H
+
+#include <stdbool.h>
+
+#include "libplantainlug/settings.h"
+
+/* Exit codes of every subcommand. */
+enum plug_exit {
+	PLUG_EXIT_OK = 0,
+	PLUG_EXIT_FAILURE = 1,
+	PLUG_EXIT_USAGE = 2,
+};
+
+/* Each subcommand gets its own name as argv[0] and returns an exit code. */
+int plug_cli_entry(int argc, char **argv);
+int plug_cli_agent(int argc, char **argv);
+int plug_cli_status(int argc, char **argv);
+int plug_cli_check(int argc, char **argv);
+int plug_cli_standin_config(int argc, char **argv);
+int plug_cli_standin_fabric(int argc, char **argv);
+int plug_cli_standin_upstream(int argc, char **argv);
+int plug_cli_standin_caller(int argc, char **argv);
+int plug_cli_scenario(int argc, char **argv);
+int plug_cli_explain(int argc, char **argv);
+
+int plug_cli_run(int argc, char **argv, enum plug_role role,
+    enum plug_code (*run)(
+	const struct plug_settings *settings, struct plug_status *status));
+
+#endif
--- /dev/null
+++ b/cli/run.c
@@ -0,0 +1,123 @@
+#include <apr_general.h>
+#include <argtable2.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "commands.h"
+#include "net/stop.h"
+
+#define SETTINGS_SIZE_MAX ((size_t)1024 * 1024) /* bytes of a settings file */
+
+static enum plug_code
+read_file(
+    const char *path, char **text, size_t *len, struct plug_status *status)
+{
+	FILE *file = fopen(path, "re");
+	char *buf;
+
+	if (file == NULL)
+		return plug_status_set(
+		    status, PLUG_E_IO, "%s: %s", path, strerror(errno));
+	buf = malloc(SETTINGS_SIZE_MAX);
+	if (buf == NULL) {
+		(void)fclose(file);
+		return plug_status_set(status, PLUG_E_MEMORY, "out of memory");
+	}
+	*len = fread(buf, 1, SETTINGS_SIZE_MAX, file);
+	(void)fclose(file);
+	if (*len == SETTINGS_SIZE_MAX) {
+		free(buf);
+		return plug_status_set(status, PLUG_E_OVERSIZE,
+		    "%s: settings are limited to %zu bytes", path,
+		    SETTINGS_SIZE_MAX - 1);
+	}
+	*text = buf;
+	return PLUG_OK;
+}
+
+static enum plug_code
+read_settings(const char *path, enum plug_role role,
+    struct plug_settings *settings, struct plug_status *status)
+{
+	enum plug_code code;
+	size_t len = 0;
+	char *text = NULL;
+
+	code = read_file(path, &text, &len, status);
+	if (code == PLUG_OK)
+		code = plug_settings_parse(
+		    (struct plug_str){ text, len }, settings, status);
+	free(text);
+	if (code == PLUG_OK && settings->role != role)
+		code = plug_status_set(status, PLUG_E_RANGE,
+		    "the settings name another role than the subcommand");
+	return code;
+}
+
+static int
+run_role(const char *path, enum plug_role role,
+    enum plug_code (*run)(
+	const struct plug_settings *settings, struct plug_status *status))
+{
+	struct plug_settings settings;
+	struct plug_status status;
+	enum plug_code code;
+
+	plug_status_init(&status);
+	code = read_settings(path, role, &settings, &status);
+	if (code == PLUG_OK) {
+		plug_stop_install();
+		if (apr_initialize() != APR_SUCCESS)
+			code = plug_status_set(&status, PLUG_E_LIBRARY,
+			    "APR can't be initialized");
+		else
+			code = run(&settings, &status);
+		apr_terminate();
+	}
+	if (code == PLUG_OK)
+		return PLUG_EXIT_OK;
+	(void)fprintf(stderr, "plantainlug: %s: error %d (%s): %s\n", path,
+	    code, plug_code_name(code), status.message);
+	return PLUG_EXIT_FAILURE;
+}
+
+/**
+ * plug_cli_run() - run a role from its settings file
+ * @argc: argument count
+ * @argv: arguments; argv[0] is the subcommand
+ * @role: role that the settings must name
+ * @run: runs the role until it is stopped
+ *
+ * Return: exit code.
+ */
+int
+plug_cli_run(int argc, char **argv, enum plug_role role,
+    enum plug_code (*run)(
+	const struct plug_settings *settings, struct plug_status *status))
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_file *config =
+	    arg_file1("c", "config", "FILE", "process settings");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, config, end };
+	int result = PLUG_EXIT_USAGE;
+	int errors;
+
+	if (arg_nullcheck(table) != 0)
+		return PLUG_EXIT_FAILURE;
+	errors = arg_parse(argc, argv, table);
+	if (help->count > 0) {
+		(void)printf("usage: plantainlug %s", argv[0]);
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		result = PLUG_EXIT_OK;
+	} else if (errors > 0) {
+		arg_print_errors(stderr, end, argv[0]);
+	} else {
+		result = run_role(config->filename[0], role, run);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -727,6 +727,96 @@
   assert(message->base.descriptor == &plug__completion__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   plug__status_request__init
+                     (Plug__StatusRequest         *message)
+{
+  static const Plug__StatusRequest init_value = PLUG__STATUS_REQUEST__INIT;
+  *message = init_value;
+}
+size_t plug__status_request__get_packed_size
+                     (const Plug__StatusRequest *message)
+{
+  assert(message->base.descriptor == &plug__status_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t plug__status_request__pack
+                     (const Plug__StatusRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &plug__status_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t plug__status_request__pack_to_buffer
+                     (const Plug__StatusRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &plug__status_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Plug__StatusRequest *
+       plug__status_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Plug__StatusRequest *)
+     protobuf_c_message_unpack (&plug__status_request__descriptor,
+                                allocator, len, data);
+}
+void   plug__status_request__free_unpacked
+                     (Plug__StatusRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &plug__status_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   plug__status_reply__init
+                     (Plug__StatusReply         *message)
+{
+  static const Plug__StatusReply init_value = PLUG__STATUS_REPLY__INIT;
+  *message = init_value;
+}
+size_t plug__status_reply__get_packed_size
+                     (const Plug__StatusReply *message)
+{
+  assert(message->base.descriptor == &plug__status_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t plug__status_reply__pack
+                     (const Plug__StatusReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &plug__status_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t plug__status_reply__pack_to_buffer
+                     (const Plug__StatusReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &plug__status_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Plug__StatusReply *
+       plug__status_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Plug__StatusReply *)
+     protobuf_c_message_unpack (&plug__status_reply__descriptor,
+                                allocator, len, data);
+}
+void   plug__status_reply__free_unpacked
+                     (Plug__StatusReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &plug__status_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   plug__message__init
                      (Plug__Message         *message)
 {
@@ -1809,7 +1899,63 @@
   (ProtobufCMessageInit) plug__completion__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__message__field_descriptors[13] =
+#define plug__status_request__field_descriptors NULL
+#define plug__status_request__field_indices_by_name NULL
+#define plug__status_request__number_ranges NULL
+const ProtobufCMessageDescriptor plug__status_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "plug.StatusRequest",
+  "StatusRequest",
+  "Plug__StatusRequest",
+  "plug",
+  sizeof(Plug__StatusRequest),
+  0,
+  plug__status_request__field_descriptors,
+  plug__status_request__field_indices_by_name,
+  0,  plug__status_request__number_ranges,
+  (ProtobufCMessageInit) plug__status_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor plug__status_reply__field_descriptors[1] =
+{
+  {
+    "text",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Plug__StatusReply, text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned plug__status_reply__field_indices_by_name[] = {
+  0,   /* field[0] = text */
+};
+static const ProtobufCIntRange plug__status_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor plug__status_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "plug.StatusReply",
+  "StatusReply",
+  "Plug__StatusReply",
+  "plug",
+  sizeof(Plug__StatusReply),
+  1,
+  plug__status_reply__field_descriptors,
+  plug__status_reply__field_indices_by_name,
+  1,  plug__status_reply__number_ranges,
+  (ProtobufCMessageInit) plug__status_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor plug__message__field_descriptors[15] =
 {
   {
     "sender",
@@ -1967,6 +2113,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "status_request",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Plug__Message, body_case),
+    offsetof(Plug__Message, status_request),
+    &plug__status_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status_reply",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Plug__Message, body_case),
+    offsetof(Plug__Message, status_reply),
+    &plug__status_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__message__field_indices_by_name[] = {
   11,   /* field[11] = abort */
@@ -1980,13 +2150,15 @@
   8,   /* field[8] = prepared */
   6,   /* field[6] = report */
   0,   /* field[0] = sender */
+  14,   /* field[14] = status_reply */
+  13,   /* field[13] = status_request */
   5,   /* field[5] = value */
   2,   /* field[2] = versions */
 };
 static const ProtobufCIntRange plug__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor plug__message__descriptor =
 {
@@ -1996,7 +2168,7 @@
   "Plug__Message",
   "plug",
   sizeof(Plug__Message),
-  13,
+  15,
   plug__message__field_descriptors,
   plug__message__field_indices_by_name,
   1,  plug__message__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -31,6 +31,8 @@
 typedef struct Plug__Committed Plug__Committed;
 typedef struct Plug__Abort Plug__Abort;
 typedef struct Plug__Completion Plug__Completion;
+typedef struct Plug__StatusRequest Plug__StatusRequest;
+typedef struct Plug__StatusReply Plug__StatusReply;
 typedef struct Plug__Message Plug__Message;
 
 
@@ -270,6 +272,29 @@
     , 0, 0, 0, {0,NULL} }
 
 
+/*
+ * StatusRequest asks a process for its state; the reply comes back on the same
+ * connection. text holds one key=value pair a line.
+ */
+struct  Plug__StatusRequest
+{
+  ProtobufCMessage base;
+};
+#define PLUG__STATUS_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__status_request__descriptor) \
+     }
+
+
+struct  Plug__StatusReply
+{
+  ProtobufCMessage base;
+  char *text;
+};
+#define PLUG__STATUS_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__status_reply__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   PLUG__MESSAGE__BODY__NOT_SET = 0,
   PLUG__MESSAGE__BODY_DIGEST = 2,
@@ -283,7 +308,9 @@
   PLUG__MESSAGE__BODY_COMMIT = 10,
   PLUG__MESSAGE__BODY_COMMITTED = 11,
   PLUG__MESSAGE__BODY_ABORT = 12,
-  PLUG__MESSAGE__BODY_COMPLETION = 13
+  PLUG__MESSAGE__BODY_COMPLETION = 13,
+  PLUG__MESSAGE__BODY_STATUS_REQUEST = 14,
+  PLUG__MESSAGE__BODY_STATUS_REPLY = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PLUG__MESSAGE__BODY__CASE)
 } Plug__Message__BodyCase;
 
@@ -305,6 +332,8 @@
     Plug__Committed *committed;
     Plug__Abort *abort;
     Plug__Completion *completion;
+    Plug__StatusRequest *status_request;
+    Plug__StatusReply *status_reply;
   };
 };
 #define PLUG__MESSAGE__INIT \
@@ -616,6 +645,44 @@
 void   plug__completion__free_unpacked
                      (Plug__Completion *message,
                       ProtobufCAllocator *allocator);
+/* Plug__StatusRequest methods */
+void   plug__status_request__init
+                     (Plug__StatusRequest         *message);
+size_t plug__status_request__get_packed_size
+                     (const Plug__StatusRequest   *message);
+size_t plug__status_request__pack
+                     (const Plug__StatusRequest   *message,
+                      uint8_t             *out);
+size_t plug__status_request__pack_to_buffer
+                     (const Plug__StatusRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__StatusRequest *
+       plug__status_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__status_request__free_unpacked
+                     (Plug__StatusRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Plug__StatusReply methods */
+void   plug__status_reply__init
+                     (Plug__StatusReply         *message);
+size_t plug__status_reply__get_packed_size
+                     (const Plug__StatusReply   *message);
+size_t plug__status_reply__pack
+                     (const Plug__StatusReply   *message,
+                      uint8_t             *out);
+size_t plug__status_reply__pack_to_buffer
+                     (const Plug__StatusReply   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__StatusReply *
+       plug__status_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__status_reply__free_unpacked
+                     (Plug__StatusReply *message,
+                      ProtobufCAllocator *allocator);
 /* Plug__Message methods */
 void   plug__message__init
                      (Plug__Message         *message);
@@ -685,6 +752,12 @@
 typedef void (*Plug__Completion_Closure)
                  (const Plug__Completion *message,
                   void *closure_data);
+typedef void (*Plug__StatusRequest_Closure)
+                 (const Plug__StatusRequest *message,
+                  void *closure_data);
+typedef void (*Plug__StatusReply_Closure)
+                 (const Plug__StatusReply *message,
+                  void *closure_data);
 typedef void (*Plug__Message_Closure)
                  (const Plug__Message *message,
                   void *closure_data);
@@ -711,6 +784,8 @@
 extern const ProtobufCMessageDescriptor plug__committed__descriptor;
 extern const ProtobufCMessageDescriptor plug__abort__descriptor;
 extern const ProtobufCMessageDescriptor plug__completion__descriptor;
+extern const ProtobufCMessageDescriptor plug__status_request__descriptor;
+extern const ProtobufCMessageDescriptor plug__status_reply__descriptor;
 extern const ProtobufCMessageDescriptor plug__message__descriptor;
 
 PROTOBUF_C__END_DECLS
