--- a/cli/main.c
+++ b/cli/main.c
@@ -12,6 +12,11 @@
 	{ "entry", plug_cli_entry, "run an entry" },
 	{ "agent", plug_cli_agent, "run an agent" },
 	{ "status", plug_cli_status, "print the state of an entry or agent" },
+	{ "standin-fabric", plug_cli_standin_fabric,
+	    "spray callers' packets over entries" },
+	{ "standin-upstream", plug_cli_standin_upstream, "run an upstream" },
+	{ "standin-caller", plug_cli_standin_caller,
+	    "open flows and send a load" },
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
