--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -990,7 +990,7 @@
   (ProtobufCMessageInit) plug__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__versions__field_descriptors[3] =
+static const ProtobufCFieldDescriptor plug__versions__field_descriptors[4] =
 {
   {
     "keys",
@@ -1028,16 +1028,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "nonce",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Versions, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__versions__field_indices_by_name[] = {
   2,   /* field[2] = answer */
   0,   /* field[0] = keys */
+  3,   /* field[3] = nonce */
   1,   /* field[1] = scope */
 };
 static const ProtobufCIntRange plug__versions__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor plug__versions__descriptor =
 {
@@ -1047,7 +1060,7 @@
   "Plug__Versions",
   "plug",
   sizeof(Plug__Versions),
-  3,
+  4,
   plug__versions__field_descriptors,
   plug__versions__field_indices_by_name,
   1,  plug__versions__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -94,7 +94,10 @@
 
 /*
  * Versions lists what the sender holds. The receiver fetches what is newer
- * and, unless answer is set, lists its own versions in return.
+ * and, unless answer is set, lists its own versions in return. With a nonce
+ * and without answer it is an inquiry: the answer repeats the nonce and lists
+ * every key within the scope, so an answer to an earlier inquiry is not taken
+ * for a current one.
  */
 struct  Plug__Versions
 {
@@ -103,10 +106,11 @@
   Plug__KeyVersion **keys;
   uint32_t scope;
   protobuf_c_boolean answer;
+  uint64_t nonce;
 };
 #define PLUG__VERSIONS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__versions__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0 }
 
 
 struct  Plug__Notice
