--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -6,6 +6,7 @@
 Suite *document_suite(void);
 Suite *keystore_suite(void);
 Suite *callerflow_suite(void);
+Suite *node_suite(void);
 Suite *packet_suite(void);
 Suite *router_suite(void);
 Suite *settings_suite(void);
