Test the drivers and close gaps after a pause

A process that was stopped resumes inside a system call. recvmmsg then ends with EINTR and no datagram, which looked like an empty socket, and the control thread could take a waiting message for recent before it noticed the gap. Both are checked now, the view is collected after the confirmation that covers it, and a batch that was decided before the pause is discarded.

Sockets with SO_REUSEPORT may be given an ephemeral port that another such socket of the user holds, so only shared ports set it. Large frame buffers are freed after use. An accept that fails for lack of descriptors rests the listener instead of keeping the thread busy.

The fuzz target for frames found arithmetic on a null pointer when a length field arrived without a body; fixed.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
 BENCH_SOURCES = $(wildcard bench/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
+FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c
 HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
 	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] bench/*.[ch])
 
@@ -46,7 +47,7 @@
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SOURCES)
+$(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SOURCES) $(FUZZ_DRIVERS)
 	@mkdir -p $(@D)
 	clang -std=gnu11 -g -O1 -fsanitize=fuzzer,address,undefined \
 	    -fno-sanitize-recover=undefined $(CPPFLAGS) -o $@ $^ $(LDLIBS)
--- a/net/agentd.c
+++ b/net/agentd.c
@@ -42,6 +42,8 @@
 	atomic_uint_fast64_t inbox_dropped;
 	atomic_uint_fast64_t unconfirmed_dropped;
 	atomic_uint_fast64_t pause_dropped;
+	atomic_uint_fast64_t bad_gre;
+	atomic_uint_fast64_t send_lost;
 
 	struct plug_agent *agent;
 	struct plug_client client;
@@ -120,30 +122,58 @@
 }
 
 static void
-handle_datagrams(struct agentd *agentd)
+handle_view(struct agentd *agentd)
+{
+	struct plug_agent_event event = { .kind = PLUG_AGENT_VIEW };
+
+	event.view = atomic_exchange(&agentd->incoming, NULL);
+	if (event.view == NULL)
+		return;
+	plug_agent_handle(agentd->agent, agentd->now, &event);
+	plug_view_release(event.view);
+}
+
+/*
+ * The clock is read after each receive, as a pause may end in it. The view is
+ * collected after the check, as in entryd.c.
+ */
+static unsigned int
+handle_batch(struct agentd *agentd)
 {
 	struct plug_agent_event event = { .kind = PLUG_AGENT_DATAGRAM };
-	bool usable = plug_control_usable(&agentd->control, agentd->now);
+	unsigned int count = plug_datagram_receive(agentd->datagram, false);
+	bool usable;
+	bool old;
+
+	agentd->now = plug_clock_now();
+	usable = plug_control_usable(&agentd->control, agentd->now);
+	old = plug_pause_check(&agentd->pause, agentd->now, count);
+	handle_view(agentd);
+	if (old)
+		atomic_fetch_add(&agentd->pause_dropped, count);
+	else if (!usable)
+		atomic_fetch_add(&agentd->unconfirmed_dropped, count);
+	for (unsigned int i = 0; i < count && !old && usable; i++) {
+		event.datagram.data = plug_datagram_packet(
+		    agentd->datagram, i, &event.datagram.len);
+		if (event.datagram.data != NULL)
+			plug_agent_handle(agentd->agent, agentd->now, &event);
+	}
+	return count;
+}
 
+static void
+handle_datagrams(struct agentd *agentd)
+{
 	for (int i = 0; i < BATCHES_MAX; i++) {
-		unsigned int count =
-		    plug_datagram_receive(agentd->datagram, false);
-		bool old = plug_pause_check(&agentd->pause, agentd->now, count);
-
-		if (old)
-			atomic_fetch_add(&agentd->pause_dropped, count);
-		else if (!usable)
-			atomic_fetch_add(&agentd->unconfirmed_dropped, count);
-		for (unsigned int j = 0; j < count && !old && usable; j++) {
-			event.datagram.data = plug_datagram_packet(
-			    agentd->datagram, j, &event.datagram.len);
-			if (event.datagram.data != NULL)
-				plug_agent_handle(
-				    agentd->agent, agentd->now, &event);
-		}
-		if (count < PLUG_DATAGRAM_BATCH)
-			return;
+		if (handle_batch(agentd) < PLUG_DATAGRAM_BATCH)
+			break;
 	}
+	plug_datagram_flush(agentd->datagram);
+	plug_datagram_flush(agentd->fabric);
+	atomic_store(&agentd->bad_gre, agentd->datagram->bad);
+	atomic_store(
+	    &agentd->send_lost, agentd->datagram->lost + agentd->fabric->lost);
 }
 
 static void
@@ -163,18 +193,6 @@
 	}
 }
 
-static void
-handle_view(struct agentd *agentd)
-{
-	struct plug_agent_event event = { .kind = PLUG_AGENT_VIEW };
-
-	event.view = atomic_exchange(&agentd->incoming, NULL);
-	if (event.view == NULL)
-		return;
-	plug_agent_handle(agentd->agent, agentd->now, &event);
-	plug_view_release(event.view);
-}
-
 static void
 handle_timers(struct agentd *agentd)
 {
@@ -217,8 +235,10 @@
 		fds[POLL_INBOX] =
 		    (struct pollfd){ agentd->inbox.fd, POLLIN, 0 };
 		plug_upstream_pollfd(agentd->upstream, &fds[POLL_UPSTREAM]);
+		/* After a pause the wait ends with EINTR; without the input
+		 * that waits, the upstream would seem silent. */
 		if (poll(fds, POLL_COUNT, wait_ms(agentd)) < 0)
-			memset(fds, 0, sizeof(fds));
+			(void)poll(fds, POLL_COUNT, 0);
 		agentd->now = plug_clock_now();
 		handle_view(agentd);
 		handle_timers(agentd);
@@ -226,8 +246,6 @@
 		    agentd->upstream, fds[POLL_UPSTREAM].revents, agentd->now);
 		handle_messages(agentd);
 		handle_datagrams(agentd);
-		plug_datagram_flush(agentd->datagram);
-		plug_datagram_flush(agentd->fabric);
 	}
 	return NULL;
 }
@@ -259,11 +277,13 @@
 	size_t len = 0;
 	int n = snprintf(buf, size,
 	    "service=%s\ninbox_dropped=%llu\nunconfirmed_dropped=%llu\n"
-	    "pause_dropped=%llu\n",
+	    "pause_dropped=%llu\nbad_gre=%llu\nsend_lost=%llu\n",
 	    agentd->settings->service,
 	    (unsigned long long)atomic_load(&agentd->inbox_dropped),
 	    (unsigned long long)atomic_load(&agentd->unconfirmed_dropped),
-	    (unsigned long long)atomic_load(&agentd->pause_dropped));
+	    (unsigned long long)atomic_load(&agentd->pause_dropped),
+	    (unsigned long long)atomic_load(&agentd->bad_gre),
+	    (unsigned long long)atomic_load(&agentd->send_lost));
 
 	for (int i = 0; i < PLUG_COUNT_AGENT_COUNT; i++) {
 		enum plug_agent_counter counter = (enum plug_agent_counter)i;
@@ -295,8 +315,8 @@
 		    &agentd->control, agentd->settings, &hooks, status);
 		if (code != PLUG_OK)
 			return code;
-		agentd->datagram =
-		    plug_datagram_create(agentd->control.endpoint, 0, status);
+		agentd->datagram = plug_datagram_create(
+		    agentd->control.endpoint, false, 0, status);
 		if (agentd->datagram != NULL)
 			return PLUG_OK;
 		code = status->code;
@@ -321,7 +341,7 @@
 	plug_control_seed(&agentd->client, agentd->control.log);
 	agentd->client.emit = emit;
 	agentd->client.emit_data = agentd;
-	agentd->fabric = plug_datagram_create(any_port, 0, status);
+	agentd->fabric = plug_datagram_create(any_port, false, 0, status);
 	if (agentd->fabric == NULL)
 		return status->code;
 	agentd->upstream =
@@ -381,11 +401,11 @@
 		    !atomic_exchange(&agentd->stopping, true))
 			plug_log_event(agentd->control.log, PLUG_LOG_INFO,
 			    "event=stopping");
-		plug_control_step(&agentd->control, plug_clock_now());
+		plug_control_step(&agentd->control);
 	}
 	end = plug_clock_now() + FLUSH_TIME;
 	while (plug_clock_now() < end)
-		plug_control_step(&agentd->control, plug_clock_now());
+		plug_control_step(&agentd->control);
 }
 
 /**
--- a/net/control.c
+++ b/net/control.c
@@ -10,7 +10,6 @@
 #define TICK_INTERVAL (100 * PLUG_MSEC)
 #define POLL_WAIT     10 /* milliseconds; libcurl is polled as often */
 #define STATUS_SIZE   ((size_t)256 * 1024) /* bytes of a status text */
-#define DIGEST_ALL    PLUG_STR("")
 
 /* A frame on its way from a traffic thread to a peer. */
 struct posted {
@@ -89,6 +88,36 @@
 	}
 }
 
+/*
+ * The node notices a gap between its ticks itself. confirmed is stored before
+ * last_tick, so that a traffic thread that sees the new tick also sees the
+ * result of the check.
+ */
+static void
+tick(struct plug_control *control, plug_time now)
+{
+	const struct plug_node_event event = { .kind = PLUG_NODE_TICK };
+
+	plug_node_handle(control->node, now, &event);
+	atomic_store(
+	    &control->confirmed, plug_node_confirmed(control->node, now));
+	atomic_store(&control->last_tick, now);
+}
+
+/*
+ * A pause usually ends while the control thread waits for input. The node has
+ * to notice the gap before it takes that input for recent.
+ */
+static plug_time
+tick_if_due(struct plug_control *control)
+{
+	plug_time now = plug_clock_now();
+
+	if (now - atomic_load(&control->last_tick) >= TICK_INTERVAL)
+		tick(control, now);
+	return now;
+}
+
 static void
 receive_value(
     void *data, struct plug_str key, uint64_t version, struct plug_str bytes)
@@ -97,7 +126,7 @@
 	const struct plug_node_event event = { .kind = PLUG_NODE_VALUE,
 		.value = { .key = key, .version = version, .data = bytes } };
 
-	plug_node_handle(control->node, plug_clock_now(), &event);
+	plug_node_handle(control->node, tick_if_due(control), &event);
 }
 
 static void
@@ -107,7 +136,7 @@
 	const struct plug_node_event event = { .kind = PLUG_NODE_FAILURE,
 		.failure = key };
 
-	plug_node_handle(control->node, plug_clock_now(), &event);
+	plug_node_handle(control->node, tick_if_due(control), &event);
 }
 
 static size_t
@@ -217,7 +246,7 @@
 	if (message->sender == NULL)
 		return false;
 	event.peer = message;
-	plug_node_handle(control->node, plug_clock_now(), &event);
+	plug_node_handle(control->node, tick_if_due(control), &event);
 	return false;
 }
 
@@ -342,38 +371,19 @@
 	plug_log_destroy(control->log);
 }
 
-/*
- * The node notices a gap between its ticks itself. confirmed is stored before
- * last_tick, so that a traffic thread that sees the new tick also sees the
- * result of the check.
- */
-static void
-tick(struct plug_control *control, plug_time now)
-{
-	const struct plug_node_event event = { .kind = PLUG_NODE_TICK };
-
-	plug_node_handle(control->node, now, &event);
-	atomic_store(
-	    &control->confirmed, plug_node_confirmed(control->node, now));
-	atomic_store(&control->last_tick, now);
-}
-
 /**
  * plug_control_step() - one pass of the control thread
  * @control: control
- * @now: current time
  *
- * Ticks first: after a pause the node has to notice the gap before it takes a
- * message or a value for recent. Waits for events for up to POLL_WAIT.
+ * Waits for events for up to POLL_WAIT.
  */
 void
-plug_control_step(struct plug_control *control, plug_time now)
+plug_control_step(struct plug_control *control)
 {
-	if (now - atomic_load(&control->last_tick) >= TICK_INTERVAL)
-		tick(control, now);
-	else
-		atomic_store(&control->confirmed,
-		    plug_node_confirmed(control->node, now));
+	plug_time now = tick_if_due(control);
+
+	atomic_store(
+	    &control->confirmed, plug_node_confirmed(control->node, now));
 	drain_outbox(control, true);
 	plug_peers_poll(control->peers, POLL_WAIT);
 	if (control->platform != NULL)
--- a/net/control.h
+++ b/net/control.h
@@ -66,7 +66,7 @@
 enum plug_code
 plug_control_start(struct plug_control *control, struct plug_status *status);
 void plug_control_finish(struct plug_control *control);
-void plug_control_step(struct plug_control *control, plug_time now);
+void plug_control_step(struct plug_control *control);
 bool plug_control_usable(struct plug_control *control, plug_time now);
 void plug_control_post(struct plug_control *control,
     struct plug_endpoint target, const Plug__Message *message);
--- a/net/datagram.c
+++ b/net/datagram.c
@@ -49,15 +49,20 @@
 	};
 }
 
+/*
+ * SO_REUSEPORT is set for shared ports only: a socket that has it may be given
+ * an ephemeral port that another such socket of the user already holds.
+ */
 static int
-open_socket(struct plug_endpoint local, int wait_ms, struct plug_status *status)
+open_socket(struct plug_endpoint local, bool shared, int wait_ms,
+    struct plug_status *status)
 {
 	const struct sockaddr_in address = socket_address(local);
 	const struct timeval wait = {
 		.tv_sec = wait_ms / 1000,
 		.tv_usec = (suseconds_t)(wait_ms % 1000) * USEC_PER_MSEC,
 	};
-	const int on = 1;
+	const int on = shared;
 	const int size = RECEIVE_BUFFER;
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 
@@ -96,15 +101,16 @@
 
 /**
  * plug_datagram_create() - open a socket and allocate its buffers
- * @local: address to bind; SO_REUSEPORT is set
+ * @local: address to bind
+ * @shared: other sockets of the process bind the same address
  * @wait_ms: longest time that a waiting receive takes, in milliseconds
  * @status: reason of a failure, or NULL
  *
  * Return: object for plug_datagram_destroy(), or NULL.
  */
 struct plug_datagram *
-plug_datagram_create(
-    struct plug_endpoint local, int wait_ms, struct plug_status *status)
+plug_datagram_create(struct plug_endpoint local, bool shared, int wait_ms,
+    struct plug_status *status)
 {
 	struct plug_datagram *datagram = calloc(1, sizeof(*datagram));
 
@@ -112,7 +118,7 @@
 		(void)plug_status_set(status, PLUG_E_MEMORY, "out of memory");
 		return NULL;
 	}
-	datagram->fd = open_socket(local, wait_ms, status);
+	datagram->fd = open_socket(local, shared, wait_ms, status);
 	if (datagram->fd < 0) {
 		free(datagram);
 		return NULL;
@@ -151,7 +157,7 @@
 	if (getsockname(datagram->fd, (struct sockaddr *)&bound, &len) == 0)
 		local.address = ntohl(bound.sin_addr.s_addr);
 	plug_datagram_flush(datagram);
-	fd = open_socket(local, 0, status);
+	fd = open_socket(local, false, 0, status);
 	if (fd < 0)
 		return PLUG_E_IO;
 	(void)close(datagram->fd);
@@ -167,7 +173,8 @@
  * Forwarded packets that are still queued are sent first, since they live in
  * the buffers that are about to be reused.
  *
- * Return: datagrams received; 0 when none came in time.
+ * Return: datagrams received; less than PLUG_DATAGRAM_BATCH when the socket was
+ * seen empty.
  */
 unsigned int
 plug_datagram_receive(struct plug_datagram *datagram, bool wait)
@@ -178,6 +185,13 @@
 	plug_datagram_flush(datagram);
 	n = recvmmsg(datagram->fd, batch->messages, PLUG_DATAGRAM_BATCH,
 	    wait ? MSG_WAITFORONE : MSG_DONTWAIT, NULL);
+	/* A wait that a stopped process left with EINTR or by its timeout says
+	 * nothing about the socket, which may hold old datagrams. */
+	while (n < 0 && (wait || errno == EINTR)) {
+		wait = false;
+		n = recvmmsg(datagram->fd, batch->messages, PLUG_DATAGRAM_BATCH,
+		    MSG_DONTWAIT, NULL);
+	}
 	batch->count = n > 0 ? (unsigned int)n : 0;
 	return batch->count;
 }
@@ -284,3 +298,14 @@
 	}
 	batch->count = 0;
 }
+
+/**
+ * plug_datagram_discard() - forget what is queued
+ * @datagram: object
+ */
+void
+plug_datagram_discard(struct plug_datagram *datagram)
+{
+	datagram->lost += datagram->queued.count;
+	datagram->queued.count = 0;
+}
--- a/net/datagram.h
+++ b/net/datagram.h
@@ -49,8 +49,8 @@
 void plug_gre_encode(uint8_t header[PLUG_GRE_SIZE]);
 bool plug_gre_valid(const uint8_t *buf, size_t len);
 
-struct plug_datagram *plug_datagram_create(
-    struct plug_endpoint local, int wait_ms, struct plug_status *status);
+struct plug_datagram *plug_datagram_create(struct plug_endpoint local,
+    bool shared, int wait_ms, struct plug_status *status);
 void plug_datagram_destroy(struct plug_datagram *datagram);
 enum plug_code
 plug_datagram_renew(struct plug_datagram *datagram, struct plug_status *status);
@@ -62,5 +62,6 @@
 void plug_datagram_send(struct plug_datagram *datagram,
     struct plug_endpoint target, const uint8_t *packet, size_t len);
 void plug_datagram_flush(struct plug_datagram *datagram);
+void plug_datagram_discard(struct plug_datagram *datagram);
 
 #endif
--- a/net/entryd.c
+++ b/net/entryd.c
@@ -113,23 +113,28 @@
 	}
 }
 
+/*
+ * The control thread stores a view before it confirms it, so the view is
+ * collected after the check: a confirmed batch never meets the older view. A
+ * batch that was decided before a pause is not sent after it.
+ */
 static unsigned int
 handle_batch(struct traffic *traffic, bool wait)
 {
 	unsigned int count = plug_datagram_receive(traffic->datagram, wait);
 	plug_time now = plug_clock_now();
-	const struct plug_view *view;
+	bool usable = plug_control_usable(&traffic->entryd->control, now);
 	bool old = plug_pause_check(&traffic->pause, now, count);
 
 	collect_view(traffic);
-	view = plug_control_usable(&traffic->entryd->control, now)
-		   ? traffic->view
-		   : NULL;
 	traffic->packets += count;
 	if (old)
 		traffic->pause_dropped += count;
 	for (unsigned int i = 0; i < count && !old; i++)
-		route_packet(traffic, view, i);
+		route_packet(traffic, usable ? traffic->view : NULL, i);
+	if (count > 0 && plug_clock_now() - now > PLUG_TICK_GAP_MAX)
+		plug_datagram_discard(traffic->datagram);
+	plug_datagram_flush(traffic->datagram);
 	publish_counters(traffic);
 	return count;
 }
@@ -147,7 +152,6 @@
 		if (handle_batch(traffic, false) == 0)
 			break;
 	}
-	plug_datagram_flush(traffic->datagram);
 	return NULL;
 }
 
@@ -215,8 +219,9 @@
 open_sockets(struct entryd *entryd, struct plug_status *status)
 {
 	for (unsigned int i = 0; i < entryd->thread_count; i++) {
-		entryd->threads[i].datagram = plug_datagram_create(
-		    entryd->control.endpoint, RECEIVE_WAIT, status);
+		entryd->threads[i].datagram =
+		    plug_datagram_create(entryd->control.endpoint,
+			entryd->thread_count > 1, RECEIVE_WAIT, status);
 		if (entryd->threads[i].datagram == NULL) {
 			close_sockets(entryd);
 			return status->code;
@@ -309,7 +314,7 @@
 	if (code == PLUG_OK)
 		code = start_threads(entryd, status);
 	while (code == PLUG_OK && !plug_stop_requested())
-		plug_control_step(&entryd->control, plug_clock_now());
+		plug_control_step(&entryd->control);
 	plug_log_event(entryd->control.log, PLUG_LOG_INFO, "event=stopping");
 	stop_threads(entryd);
 	close_sockets(entryd);
--- a/net/frame.c
+++ b/net/frame.c
@@ -5,6 +5,8 @@
 #include "buffer.h"
 #include "frame.h"
 
+#define KEEP_MAX 65536 /* bytes of a buffer that is kept between frames */
+
 /**
  * plug_frame_reader_init() - prepare a reader
  * @reader: reader to fill
@@ -74,6 +76,8 @@
 		return PLUG_E_OVERSIZE;
 	if (size == 0)
 		return PLUG_E_MALFORMED;
+	if (input->len == 0)
+		return PLUG_OK;
 	missing = size - reader->body_len;
 	if (missing > input->len)
 		missing = input->len;
@@ -89,6 +93,9 @@
 	*message = plug__message__unpack(NULL, size, reader->body);
 	reader->header_len = 0;
 	reader->body_len = 0;
+	/* A process has many links, and large frames are rare. */
+	if (reader->capacity > KEEP_MAX)
+		plug_frame_reader_finish(reader);
 	return *message != NULL ? PLUG_OK : PLUG_E_MALFORMED;
 }
 
--- a/net/peer.c
+++ b/net/peer.c
@@ -26,6 +26,7 @@
 #define IDLE_OUTGOING	   (60 * PLUG_SEC)
 #define IDLE_INCOMING	   (90 * PLUG_SEC)
 #define MALFORMED_INTERVAL PLUG_SEC /* between two log lines */
+#define SWEEP_LATE	   PLUG_SEC /* the process was paused */
 
 struct frame {
 	STAILQ_ENTRY(frame) entries;
@@ -73,7 +74,8 @@
 	struct link_list links;
 	unsigned int link_count;
 	unsigned int incoming_count;
-	plug_time sweep_at;
+	plug_time swept_at;
+	bool listener_off; /* no descriptor was left for a connection */
 	plug_time malformed_at;
 	uint64_t malformed_logged;
 	struct plug_peers_counters counters;
@@ -416,18 +418,50 @@
 	}
 }
 
+/*
+ * A connection that can't be accepted would keep the listener readable and the
+ * thread busy, so the listener rests until the next sweep.
+ */
+static void
+rest_listener(struct plug_peers *peers)
+{
+	const apr_pollfd_t poll = { .desc_type = APR_POLL_SOCKET,
+		.reqevents = APR_POLLIN,
+		.desc.s = peers->listener };
+
+	if (apr_pollset_remove(peers->pollset, &poll) == APR_SUCCESS)
+		peers->listener_off = true;
+}
+
+static void
+resume_listener(struct plug_peers *peers)
+{
+	const apr_pollfd_t poll = { .desc_type = APR_POLL_SOCKET,
+		.reqevents = APR_POLLIN,
+		.desc.s = peers->listener };
+
+	if (peers->listener_off &&
+	    apr_pollset_add(peers->pollset, &poll) == APR_SUCCESS)
+		peers->listener_off = false;
+}
+
 static void
 accept_link(struct plug_peers *peers)
 {
 	struct plug_link *link = create_link(peers, false);
 	apr_socket_t *socket = NULL;
 	apr_pool_t *pool = NULL;
+	apr_status_t rc;
 
 	if (link != NULL) {
-		if (apr_socket_accept(&link->socket, peers->listener,
-			link->pool) != APR_SUCCESS) {
+		rc = apr_socket_accept(
+		    &link->socket, peers->listener, link->pool);
+		if (rc != APR_SUCCESS) {
 			link->socket = NULL;
 			destroy_link(link);
+			if (!APR_STATUS_IS_EAGAIN(rc) &&
+			    !APR_STATUS_IS_ECONNABORTED(rc))
+				rest_listener(peers);
 			return;
 		}
 		set_options(link);
@@ -725,6 +759,20 @@
 	}
 }
 
+/* Time during which this process was paused says nothing about the peers. */
+static void
+restart_timers(struct plug_peers *peers, plug_time now)
+{
+	struct plug_link *link;
+
+	TAILQ_FOREACH(link, &peers->links, entries)
+	{
+		link->progress = now;
+		if (link->asked != 0)
+			link->asked = now;
+	}
+}
+
 static void
 sweep(struct plug_peers *peers)
 {
@@ -732,9 +780,12 @@
 	struct plug_link *link;
 	struct plug_link *next;
 
-	if (now < peers->sweep_at)
+	if (now - peers->swept_at < SWEEP_INTERVAL)
 		return;
-	peers->sweep_at = now + SWEEP_INTERVAL;
+	if (now - peers->swept_at > SWEEP_LATE)
+		restart_timers(peers, now);
+	peers->swept_at = now;
+	resume_listener(peers);
 	for (link = TAILQ_FIRST(&peers->links); link != NULL; link = next) {
 		next = TAILQ_NEXT(link, entries);
 		sweep_link(link, now);
--- a/net/peer.h
+++ b/net/peer.h
@@ -5,8 +5,9 @@
 #include "log.h"
 
 #define PLUG_PEER_QUEUE_FRAMES 256 /* frames that wait for one peer */
-#define PLUG_PEER_QUEUE_BYTES  ((size_t)16 * 1024 * 1024) /* their total size \
-							   */
+#define PLUG_PEER_QUEUE_BYTES                          \
+	((size_t)16 * 1024 * 1024) /* their total size \
+				    */
 
 struct plug_link;
 struct plug_peers;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -9,6 +9,7 @@
 	SRunner *runner = srunner_create(packet_suite());
 	int failed;
 
+	srunner_add_suite(runner, net_suite());
 	srunner_add_suite(runner, token_suite());
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -3,6 +3,7 @@
 
 #include <check.h>
 
+Suite *net_suite(void);
 Suite *packet_suite(void);
 Suite *token_suite(void);
 
