--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
 BENCH_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
+FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c
 HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
 	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] bench/*.[ch])
 
@@ -47,7 +48,7 @@
 	$(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SOURCES)
+$(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SOURCES) $(FUZZ_DRIVERS)
 	@mkdir -p $(@D)
 	clang -std=gnu11 -g -O1 -fsanitize=fuzzer,address,undefined \
 	    -fno-sanitize-recover=undefined $(CPPFLAGS) -o $@ $^ $(LDLIBS)
