--- a/libplantainlug/transfer.c
+++ b/libplantainlug/transfer.c
@@ -82,6 +82,7 @@
 
 	message->sender = &sender;
 	plug_client_emit(transfer->client, &action);
+	message->sender = NULL;
 }
 
 /**
--- /dev/null
+++ b/tests/unit/fleet.c
@@ -0,0 +1,428 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+#define TICK_MS 10
+
+static const struct plug_endpoint service_address = { 0x0a000001, 80 };
+static const struct plug_endpoint fabric = { 0x7f0000fe, 9 };
+static const struct plug_endpoint caller = { 0x0a010101, 1234 };
+
+static unsigned int
+index_of(const struct fleet *fleet, struct plug_endpoint endpoint)
+{
+	for (unsigned int i = 0; i < fleet->count; i++) {
+		if (plug_endpoint_equal(
+			fleet->agents[i].config.endpoint, endpoint))
+			return i;
+	}
+	return fleet->count;
+}
+
+static void
+enqueue(struct fleet *fleet, struct plug_endpoint target, bool is_peer,
+    uint8_t *data, size_t len)
+{
+	struct fleet_message *message =
+	    &fleet->queue[fleet->tail++ % FLEET_QUEUE];
+
+	ck_assert_uint_le(fleet->tail - fleet->head, FLEET_QUEUE);
+	*message = (struct fleet_message){ index_of(fleet, target), is_peer,
+		len, data };
+}
+
+static void
+take_datagram(struct fleet *fleet, const struct plug_action *action)
+{
+	struct plug_reply reply;
+	uint8_t *copy;
+
+	if (!plug_endpoint_equal(action->datagram.target, fabric)) {
+		copy = malloc(action->datagram.len);
+		memcpy(copy, action->datagram.data, action->datagram.len);
+		enqueue(fleet, action->datagram.target, false, copy,
+		    action->datagram.len);
+		return;
+	}
+	ck_assert_int_eq(plug_packet_decode_reply(action->datagram.data,
+			     action->datagram.len, &reply, NULL),
+	    PLUG_OK);
+	fleet->replies[fleet->reply_count++ % FLEET_REPLIES] = reply;
+}
+
+static void
+emit(void *data, const struct plug_action *action)
+{
+	struct fleet_agent *self = data;
+	struct fleet *fleet = self->fleet;
+	size_t len;
+	uint8_t *buf;
+
+	switch (action->kind) {
+	case PLUG_ACTION_DATAGRAM:
+		take_datagram(fleet, action);
+		return;
+	case PLUG_ACTION_PEER:
+		fleet->peers[action->peer.message->body_case]++;
+		if (fleet->drop & 1U << action->peer.message->body_case)
+			return;
+		len = plug__message__get_packed_size(action->peer.message);
+		buf = malloc(len);
+		(void)plug__message__pack(action->peer.message, buf);
+		if (fleet->hold & 1U << action->peer.message->body_case) {
+			ck_assert_ptr_null(fleet->held.data);
+			fleet->held = (struct fleet_message){
+				index_of(fleet, action->peer.target), true, len,
+				buf
+			};
+			return;
+		}
+		enqueue(fleet, action->peer.target, true, buf, len);
+		return;
+	case PLUG_ACTION_UPSTREAM_CALL:
+		ck_assert_uint_lt(self->call_count, FLEET_CALLS);
+		self->calls[self->call_count++] =
+		    (struct fleet_call){ action->upstream.id,
+			    action->upstream.procedure, true, false };
+		return;
+	case PLUG_ACTION_UPSTREAM_CANCEL:
+		for (unsigned int i = 0; i < self->call_count; i++) {
+			if (self->calls[i].id == action->upstream.id)
+				self->calls[i].cancelled = true;
+		}
+		return;
+	case PLUG_ACTION_UPSTREAM_RECONNECT:
+		self->reconnects++;
+		return;
+	case PLUG_ACTION_FABRIC_RENEW:
+		self->renewals++;
+		return;
+	case PLUG_ACTION_STOPPED:
+		self->stopped = true;
+		return;
+	default:
+		return;
+	}
+}
+
+void
+fleet_event(
+    struct fleet *fleet, unsigned int at, const struct plug_agent_event *event)
+{
+	if (!fleet->agents[at].dead)
+		plug_agent_handle(fleet->agents[at].agent, fleet->now, event);
+}
+
+static void
+deliver(struct fleet *fleet)
+{
+	while (fleet->head != fleet->tail) {
+		struct fleet_message *message =
+		    &fleet->queue[fleet->head++ % FLEET_QUEUE];
+		struct plug_agent_event event = { .kind = PLUG_AGENT_DATAGRAM };
+
+		if (message->target < fleet->count && !message->is_peer) {
+			event.datagram.data = message->data;
+			event.datagram.len = message->len;
+			fleet_event(fleet, message->target, &event);
+		} else if (message->target < fleet->count) {
+			Plug__Message *peer = plug__message__unpack(
+			    NULL, message->len, message->data);
+
+			event.kind = PLUG_AGENT_PEER;
+			event.peer = peer;
+			fleet_event(fleet, message->target, &event);
+			plug__message__free_unpacked(peer, NULL);
+		}
+		free(message->data);
+	}
+}
+
+/* Delivers the message that was held, and holds no more. */
+void
+fleet_release(struct fleet *fleet)
+{
+	fleet->hold = 0;
+	ck_assert_ptr_nonnull(fleet->held.data);
+	fleet->queue[fleet->tail++ % FLEET_QUEUE] = fleet->held;
+	fleet->held.data = NULL;
+	deliver(fleet);
+}
+
+static void
+change_nothing(struct plug_service *service, void *data)
+{
+	(void)service;
+	(void)data;
+}
+
+void
+fleet_set_view(struct fleet *fleet,
+    void (*change)(struct plug_service *service, void *data), void *data)
+{
+	struct plug_view *view = plug_view_create(1, 0);
+	struct plug_agent_event event = { .kind = PLUG_AGENT_VIEW,
+		.view = view };
+	struct plug_service *service = &view->services[0];
+
+	if (fleet->view != NULL) {
+		*service = fleet->view->services[0];
+		service->document_version++;
+	} else {
+		service->document = (struct plug_document){
+			.service = 7,
+			.address = service_address,
+			.slots = 4,
+			.connections = 2000,
+			.queue = 100,
+			.cold_seconds = 10,
+			.cold_slots = 1,
+			.bulk_share = 0.5,
+			.operation_count = 3,
+			.operations = {
+				{ SHORT_READ, "read", true, PLUG_CLASS_SHORT,
+				    5000 },
+				{ SHORT_WRITE, "write", false, PLUG_CLASS_SHORT,
+				    5000 },
+				{ BULK_READ, "bulk", true, PLUG_CLASS_BULK,
+				    20000 },
+			},
+			.token_keys = { 1, { { 1 } } },
+		};
+		service->document_version = 1;
+	}
+	service->members = calloc(FLEET_AGENTS, sizeof(*service->members));
+	service->member_count = fleet->count;
+	for (unsigned int i = 0; i < fleet->count; i++) {
+		service->members[i].endpoint = fleet->agents[i].config.endpoint;
+		service->members[i].domain = fleet->agents[i].config.domain;
+	}
+	change(service, data);
+	for (unsigned int i = 0; i < fleet->count; i++)
+		fleet_event(fleet, i, &event);
+	plug_view_release(fleet->view);
+	fleet->view = view;
+	deliver(fleet);
+}
+
+static void
+start(struct fleet *fleet, unsigned int at, uint64_t instance)
+{
+	const struct plug_agent_event opened = {
+		.kind = PLUG_AGENT_UPSTREAM_OPEN,
+	};
+	struct fleet_agent *self = &fleet->agents[at];
+
+	*self = (struct fleet_agent){
+		.fleet = fleet,
+		.client = { .emit = emit, .emit_data = self,
+		    .random = { 1, 2, (unsigned short)instance } },
+		.config = {
+			.instance = instance,
+			.endpoint = { 0x7f000001, (uint16_t)(4000 + at) },
+			.domain = 100 + at % 2,
+			.service = 7,
+			.fabric = fabric,
+		},
+	};
+	self->agent =
+	    plug_agent_create(&self->client, &self->config, fleet->now);
+	ck_assert_ptr_nonnull(self->agent);
+	plug_agent_handle(self->agent, fleet->now, &opened);
+}
+
+struct fleet *
+fleet_create(unsigned int agents)
+{
+	struct fleet *fleet = calloc(1, sizeof(*fleet));
+
+	fleet->now = 1000 * PLUG_SEC;
+	fleet->count = agents;
+	for (unsigned int i = 0; i < agents; i++)
+		start(fleet, i, 500 + i);
+	fleet_set_view(fleet, change_nothing, NULL);
+	return fleet;
+}
+
+void
+fleet_restart(struct fleet *fleet, unsigned int at, uint64_t instance)
+{
+	const struct plug_agent_event event = { .kind = PLUG_AGENT_VIEW,
+		.view = fleet->view };
+
+	plug_agent_destroy(fleet->agents[at].agent);
+	start(fleet, at, instance);
+	fleet_event(fleet, at, &event);
+}
+
+void
+fleet_destroy(struct fleet *fleet)
+{
+	fleet->count = 0;
+	deliver(fleet);
+	for (unsigned int i = 0; i < FLEET_AGENTS; i++)
+		plug_agent_destroy(fleet->agents[i].agent);
+	plug_view_release(fleet->view);
+	free(fleet);
+}
+
+static void
+answer_null_calls(struct fleet *fleet, unsigned int at)
+{
+	struct fleet_agent *self = &fleet->agents[at];
+
+	for (unsigned int i = 0; i < self->call_count; i++) {
+		bool null = self->calls[i].procedure == PLUG_PROCEDURE_NULL;
+
+		if (self->calls[i].open &&
+		    (null ? !self->silent : self->auto_answer))
+			(void)fleet_answer(fleet, at, i, PLUG_UPSTREAM_DONE,
+			    PLUG_STR("answer"));
+	}
+	/* Forget a settled tail, so that long runs don't fill the record. */
+	while (self->call_count > 0 &&
+	       self->calls[self->call_count - 1].procedure == 0 &&
+	       !self->calls[self->call_count - 1].open)
+		self->call_count--;
+}
+
+void
+fleet_run(struct fleet *fleet, unsigned int ms)
+{
+	const struct plug_agent_event tick = { .kind = PLUG_AGENT_TICK };
+
+	for (unsigned int t = 0; t < ms; t += TICK_MS) {
+		fleet->now += TICK_MS * PLUG_MSEC;
+		for (unsigned int i = 0; i < fleet->count; i++) {
+			fleet_event(fleet, i, &tick);
+			answer_null_calls(fleet, i);
+		}
+		deliver(fleet);
+	}
+}
+
+struct plug_call
+fleet_make_call(const uint8_t *token, uint32_t xid, uint32_t procedure)
+{
+	struct plug_call call = {
+		.caller = caller,
+		.service = service_address,
+		.ttl = PLUG_INITIAL_TTL,
+		.xid = xid,
+		.program = 7,
+		.procedure = procedure,
+		.has_token = token != NULL,
+	};
+
+	if (token != NULL)
+		memcpy(call.token, token, PLUG_TOKEN_SIZE);
+	return call;
+}
+
+/* Returns the last reply that the call caused, or NULL. */
+const struct plug_reply *
+fleet_send(struct fleet *fleet, unsigned int at, const struct plug_call *call)
+{
+	unsigned int before = fleet->reply_count;
+	uint8_t buf[PLUG_PACKET_MAX];
+	struct plug_agent_event event = {
+		.kind = PLUG_AGENT_DATAGRAM,
+		.datagram = { buf,
+		    plug_packet_encode_call(call, buf, sizeof(buf)) },
+	};
+
+	fleet_event(fleet, at, &event);
+	deliver(fleet);
+	return fleet->reply_count == before
+		   ? NULL
+		   : &fleet->replies[(fleet->reply_count - 1) % FLEET_REPLIES];
+}
+
+const struct plug_reply *
+fleet_call(struct fleet *fleet, unsigned int at, const uint8_t *token,
+    uint32_t xid, uint32_t procedure)
+{
+	const struct plug_call call = fleet_make_call(token, xid, procedure);
+
+	return fleet_send(fleet, at, &call);
+}
+
+void
+fleet_open(struct fleet *fleet, unsigned int at, uint8_t token[PLUG_TOKEN_SIZE])
+{
+	const struct plug_reply *reply =
+	    fleet_call(fleet, at, NULL, 0x7fffffff, PLUG_PROCEDURE_NULL);
+
+	ck_assert_ptr_nonnull(reply);
+	ck_assert(reply->has_token);
+	memcpy(token, reply->token, PLUG_TOKEN_SIZE);
+}
+
+const struct plug_reply *
+fleet_answer(struct fleet *fleet, unsigned int at, unsigned int call,
+    enum plug_upstream_result result, struct plug_str body)
+{
+	unsigned int before = fleet->reply_count;
+	struct plug_agent_event event = {
+		.kind = PLUG_AGENT_UPSTREAM_REPLY,
+		.reply = { fleet->agents[at].calls[call].id, result, body },
+	};
+
+	ck_assert_uint_lt(call, fleet->agents[at].call_count);
+	fleet->agents[at].calls[call].open = false;
+	fleet_event(fleet, at, &event);
+	deliver(fleet);
+	return fleet->reply_count == before
+		   ? NULL
+		   : &fleet->replies[(fleet->reply_count - 1) % FLEET_REPLIES];
+}
+
+unsigned int
+fleet_running(const struct fleet *fleet, unsigned int at)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < fleet->agents[at].call_count; i++)
+		count += fleet->agents[at].calls[i].open &&
+			 fleet->agents[at].calls[i].procedure != 0;
+	return count;
+}
+
+/* Requests started at any upstream, retries included. */
+unsigned int
+fleet_started(const struct fleet *fleet)
+{
+	uint64_t count = 0;
+
+	for (unsigned int i = 0; i < fleet->count; i++)
+		count += plug_agent_counter(
+			     fleet->agents[i].agent, PLUG_COUNT_STARTED) +
+			 plug_agent_counter(
+			     fleet->agents[i].agent, PLUG_COUNT_RETRIES);
+	return (unsigned int)count;
+}
+
+/* The last reply to an xid, or NULL. Its body is no longer valid. */
+const struct plug_reply *
+fleet_reply_to(const struct fleet *fleet, uint32_t xid)
+{
+	for (unsigned int i = fleet->reply_count; i > 0; i--) {
+		const struct plug_reply *reply =
+		    &fleet->replies[(i - 1) % FLEET_REPLIES];
+
+		if (reply->xid == xid)
+			return reply;
+	}
+	return NULL;
+}
+
+struct plug_load
+fleet_load(const struct fleet *fleet, unsigned int at)
+{
+	struct plug_load load;
+
+	plug_agent_load(fleet->agents[at].agent, fleet->now, &load);
+	return load;
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -10,6 +10,10 @@
 	int failed;
 
 	srunner_add_suite(runner, token_suite());
+	srunner_add_suite(runner, flow_suite());
+	srunner_add_suite(runner, limiter_suite());
+	srunner_add_suite(runner, agent_suite());
+	srunner_add_suite(runner, transfer_suite());
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -5,5 +5,9 @@
 
 Suite *packet_suite(void);
 Suite *token_suite(void);
+Suite *flow_suite(void);
+Suite *limiter_suite(void);
+Suite *agent_suite(void);
+Suite *transfer_suite(void);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_agent.c
@@ -0,0 +1,460 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "suites.h"
+
+static struct fleet *fleet;
+static uint8_t token[PLUG_TOKEN_SIZE];
+
+static void
+setup(void)
+{
+	fleet = fleet_create(1);
+	fleet_open(fleet, 0, token);
+}
+
+static void
+teardown(void)
+{
+	fleet_destroy(fleet);
+}
+
+static struct plug_agent *
+agent(unsigned int at)
+{
+	return fleet->agents[at].agent;
+}
+
+static void
+assert_outcome(const struct plug_reply *reply, enum plug_outcome outcome)
+{
+	ck_assert_ptr_nonnull(reply);
+	ck_assert_str_eq(
+	    plug_outcome_name(reply->outcome), plug_outcome_name(outcome));
+}
+
+/* Guards against a non-idempotent request that runs twice because its packet
+ * was sprayed, resent or delayed. */
+START_TEST(duplicates_run_once)
+{
+	const struct plug_reply *reply;
+	struct plug_call call = fleet_make_call(token, 1, SHORT_WRITE);
+
+	ck_assert_ptr_null(fleet_send(fleet, 0, &call));
+	ck_assert_ptr_null(fleet_send(fleet, 0, &call));
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+	reply = fleet_answer(
+	    fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt 7"));
+	assert_outcome(reply, PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(reply->total, 9);
+	fleet_run(fleet, 60000);
+	reply = fleet_send(fleet, 0, &call);
+	assert_outcome(reply, PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(reply->total, 9);
+	/* Once settled, a late duplicate is dropped. */
+	call = fleet_make_call(token, 3, PLUG_PROCEDURE_NULL);
+	call.floor = 2;
+	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_DONE);
+	ck_assert_ptr_null(fleet_call(fleet, 0, token, 1, SHORT_WRITE));
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_DUPLICATES), 3);
+}
+END_TEST
+
+/* Guards against "not run" followed by a late duplicate that runs. */
+START_TEST(refusal_is_final)
+{
+	const struct plug_reply *reply = NULL;
+	uint32_t xid;
+
+	for (xid = 1; xid <= 32; xid++)
+		(void)fleet_call(fleet, 0, token, xid, SHORT_WRITE);
+	fleet_open(fleet, 0, token);
+	for (xid = 1; xid <= 32; xid++)
+		(void)fleet_call(fleet, 0, token, xid, SHORT_WRITE);
+	fleet_open(fleet, 0, token);
+	for (xid = 1; xid <= 32; xid++)
+		(void)fleet_call(fleet, 0, token, xid, SHORT_WRITE);
+	fleet_open(fleet, 0, token);
+	for (xid = 1; xid <= 32; xid++)
+		reply = fleet_call(fleet, 0, token, xid, SHORT_WRITE);
+	/* One runs, 100 wait; the last of 128 is refused at once. */
+	assert_outcome(reply, PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_ge(reply->retry_after_ms, 50);
+	ck_assert_uint_eq(fleet_running(fleet, 0), 1);
+	fleet->agents[0].auto_answer = true;
+	fleet_run(fleet, 4000);
+	ck_assert_uint_eq(fleet_started(fleet), 101);
+	assert_outcome(
+	    fleet_call(fleet, 0, token, 32, SHORT_WRITE), PLUG_OUTCOME_NOT_RUN);
+	fleet_run(fleet, 100);
+	ck_assert_uint_eq(fleet_started(fleet), 101);
+	/* Under a new xid it runs. */
+	(void)fleet_call(fleet, 0, token, 5, SHORT_WRITE);
+	for (unsigned int i = 0; i < 2; i++) {
+		struct plug_call call = fleet_make_call(token, 33, SHORT_WRITE);
+
+		call.floor = 33;
+		(void)fleet_send(fleet, 0, &call);
+	}
+	ck_assert_uint_eq(fleet_started(fleet), 102);
+}
+END_TEST
+
+/* Guards against a flow that is created twice by a delayed first packet, and
+ * against running without an unbroken record. */
+START_TEST(no_record_means_flow_lost)
+{
+	uint8_t late[PLUG_TOKEN_SIZE];
+
+	fleet_open(fleet, 0, late);
+	fleet_run(fleet, 10100);
+	assert_outcome(
+	    fleet_call(fleet, 0, late, 1, SHORT_WRITE), PLUG_OUTCOME_FLOW_LOST);
+	fleet_open(fleet, 0, token);
+	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+	/* A new instance at the same address. */
+	fleet_restart(fleet, 0, 999);
+	assert_outcome(fleet_call(fleet, 0, token, 1, SHORT_WRITE),
+	    PLUG_OUTCOME_FLOW_LOST);
+	assert_outcome(
+	    fleet_call(fleet, 0, token, 2, SHORT_READ), PLUG_OUTCOME_FLOW_LOST);
+	ck_assert_uint_eq(fleet_started(fleet), 0);
+}
+END_TEST
+
+/* Guards against a non-idempotent request that is sent again, or called "not
+ * run", after its connection broke. */
+START_TEST(broken_connection)
+{
+	const struct plug_agent_event closed = {
+		.kind = PLUG_AGENT_UPSTREAM_CLOSED,
+	};
+	const struct plug_agent_event opened = {
+		.kind = PLUG_AGENT_UPSTREAM_OPEN,
+	};
+
+	fleet->agents[0].auto_answer = true;
+	for (uint32_t xid = 1; xid < 20; xid++) {
+		(void)fleet_call(fleet, 0, token, xid, SHORT_READ);
+		fleet_run(fleet, 500);
+	}
+	fleet->agents[0].auto_answer = false;
+	ck_assert_uint_eq(fleet_load(fleet, 0).limit, 3);
+	(void)fleet_call(fleet, 0, token, 20, SHORT_WRITE);
+	(void)fleet_call(fleet, 0, token, 21, SHORT_READ);
+	fleet_event(fleet, 0, &closed);
+	assert_outcome(fleet_reply_to(fleet, 20), PLUG_OUTCOME_UNKNOWN);
+	ck_assert_ptr_null(fleet_reply_to(fleet, 21));
+	ck_assert_uint_eq(fleet_load(fleet, 0).limit, 1);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_COLD_STARTS), 1);
+	fleet_event(fleet, 0, &opened);
+	fleet->agents[0].auto_answer = true;
+	fleet_run(fleet, 200);
+	assert_outcome(fleet_reply_to(fleet, 21), PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_RETRIES), 1);
+	assert_outcome(
+	    fleet_call(fleet, 0, token, 20, SHORT_WRITE), PLUG_OUTCOME_UNKNOWN);
+	/* Without a connection work is refused, not held back. */
+	fleet_event(fleet, 0, &closed);
+	(void)fleet_call(fleet, 0, token, 22, SHORT_WRITE);
+	fleet_run(fleet, 1010);
+	assert_outcome(fleet_reply_to(fleet, 22), PLUG_OUTCOME_NOT_RUN);
+	assert_outcome(
+	    fleet_call(fleet, 0, token, 23, SHORT_WRITE), PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_eq(fleet_started(fleet), 22);
+}
+END_TEST
+
+/* Guards against more work than a cold upstream can bear, and against a ramp
+ * that never reaches the slots. */
+START_TEST(cold_upstream_stays_within_its_limit)
+{
+	uint8_t flows[8][PLUG_TOKEN_SIZE];
+	unsigned int most = 0;
+
+	for (unsigned int i = 0; i < 8; i++)
+		fleet_open(fleet, 0, flows[i]);
+	for (uint32_t xid = 1; xid < 400; xid++) {
+		unsigned int limit, running;
+
+		for (unsigned int i = 0; i < 8; i++) {
+			struct plug_call call =
+			    fleet_make_call(flows[i], xid, SHORT_WRITE);
+
+			call.floor = xid;
+			(void)fleet_send(fleet, 0, &call);
+		}
+		limit = 1 + xid * 50 * 3 / 10000;
+		running = fleet_running(fleet, 0);
+		ck_assert_uint_le(running, limit < 4 ? limit : 4);
+		most = running > most ? running : most;
+		fleet->agents[0].auto_answer = true;
+		fleet_run(fleet, 50);
+		fleet->agents[0].auto_answer = false;
+		fleet->agents[0].call_count = 0;
+		fleet_run(fleet, 10);
+		while (fleet_running(fleet, 0) > 0)
+			(void)fleet_answer(fleet, 0,
+			    fleet->agents[0].call_count - 1, PLUG_UPSTREAM_DONE,
+			    PLUG_STR("x"));
+	}
+	ck_assert_uint_eq(most, 4);
+}
+END_TEST
+
+/* Guards against a refusal that is held back until the caller has given up,
+ * and against work for nobody. */
+START_TEST(deadlines)
+{
+	struct plug_call call = fleet_make_call(token, 2, SHORT_WRITE);
+
+	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
+	call.budget_ms = 300;
+	(void)fleet_send(fleet, 0, &call);
+	fleet_run(fleet, 290);
+	ck_assert_ptr_null(fleet_reply_to(fleet, 2));
+	fleet_run(fleet, 10);
+	assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_gt(fleet_reply_to(fleet, 2)->retry_after_ms, 0);
+	/* The running one is cancelled at its deadline, then given up. */
+	fleet_run(fleet, 4750);
+	ck_assert(fleet->agents[0].calls[0].cancelled);
+	ck_assert_ptr_null(fleet_reply_to(fleet, 1));
+	fleet_run(fleet, 2000);
+	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
+	/* It still holds its slot; its late answer replaces "unknown". */
+	(void)fleet_call(fleet, 0, token, 3, SHORT_WRITE);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+	(void)fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("late"));
+	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(fleet_started(fleet), 2);
+}
+END_TEST
+
+/* Guards against packets that reach another service after an address was
+ * reused. */
+START_TEST(foreign_packets_are_fenced)
+{
+	struct plug_call call = fleet_make_call(token, 1, SHORT_WRITE);
+	struct plug_token_keys keys = { 1, { { 9 } } };
+	struct plug_token other = { .service = 7 };
+
+	call.program = 8;
+	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
+	call.program = 7;
+	call.service.address++;
+	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
+	call = fleet_make_call(token, 1, SHORT_WRITE);
+	plug_token_seal(&other, &keys, call.token);
+	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
+	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_FOREIGN), 3);
+	ck_assert_uint_eq(fleet_started(fleet), 0);
+}
+END_TEST
+
+static void
+take_domain_out(struct plug_service *service, void *data)
+{
+	service->document.domain_out_count = *(unsigned int *)data;
+	service->document.domains_out[0] = 100;
+}
+
+/* Guards against a domain that still works after it was taken out, and against
+ * false refusals while it leaves. */
+START_TEST(domain_taken_out)
+{
+	unsigned int out = 1;
+
+	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
+	(void)fleet_call(fleet, 0, token, 2, SHORT_WRITE);
+	fleet_set_view(fleet, take_domain_out, &out);
+	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
+	assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
+	assert_outcome(fleet_call(fleet, 0, token, 3, SHORT_WRITE),
+	    PLUG_OUTCOME_FLOW_LOST);
+	assert_outcome(fleet_call(fleet, 0, NULL, 4, PLUG_PROCEDURE_NULL),
+	    PLUG_OUTCOME_NOT_RUN);
+	ck_assert(fleet->agents[0].calls[0].cancelled);
+	ck_assert_ptr_null(
+	    fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("late")));
+	out = 0;
+	fleet_set_view(fleet, take_domain_out, &out);
+	assert_outcome(fleet_call(fleet, 0, token, 3, SHORT_WRITE),
+	    PLUG_OUTCOME_FLOW_LOST);
+	ck_assert_uint_eq(fleet_load(fleet, 0).limit, 1);
+	fleet_open(fleet, 0, token);
+	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
+	ck_assert_uint_eq(fleet_started(fleet), 2);
+}
+END_TEST
+
+/* Guards against a connection that went silent and is used forever. */
+START_TEST(silent_upstream_is_replaced)
+{
+	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
+	fleet_run(fleet, 4500);
+	ck_assert_uint_eq(fleet->agents[0].reconnects, 0);
+	fleet->agents[0].silent = true;
+	fleet_run(fleet, 4200);
+	ck_assert_uint_eq(fleet->agents[0].reconnects, 1);
+	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
+}
+END_TEST
+
+/* Guards against an answer that is put together from blocks of two runs. */
+START_TEST(large_answers_come_in_blocks)
+{
+	static char body[3000];
+	struct plug_call call = fleet_make_call(token, 1, BULK_READ);
+	const struct plug_reply *reply;
+	uint32_t crc;
+
+	(void)fleet_send(fleet, 0, &call);
+	reply = fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE,
+	    (struct plug_str){ body, sizeof(body) });
+	ck_assert_uint_eq(reply->total, 3000);
+	ck_assert_uint_eq(reply->body.len, 1200);
+	crc = reply->crc;
+	call.offset = 2400;
+	reply = fleet_send(fleet, 0, &call);
+	ck_assert_uint_eq(reply->offset, 2400);
+	ck_assert_uint_eq(reply->body.len, 600);
+	ck_assert_uint_eq(reply->crc, crc);
+	call.offset = 5000;
+	ck_assert_uint_eq(fleet_send(fleet, 0, &call)->body.len, 0);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+	/* Without a record nothing non-idempotent starts from the middle. */
+	call = fleet_make_call(token, 2, SHORT_WRITE);
+	call.offset = 1200;
+	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_UNKNOWN);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+/* Guards against answers that are lost on a dead path to the fabric. */
+START_TEST(resends_renew_the_path)
+{
+	struct plug_call call = fleet_make_call(token, 1, SHORT_READ);
+
+	fleet->agents[0].auto_answer = true;
+	(void)fleet_send(fleet, 0, &call);
+	fleet_run(fleet, 10);
+	call.attempt = 1;
+	for (unsigned int i = 0; i < 30; i++)
+		(void)fleet_send(fleet, 0, &call);
+	ck_assert_uint_eq(fleet->agents[0].renewals, 0);
+	(void)fleet_send(fleet, 0, &call);
+	ck_assert_uint_eq(fleet->agents[0].renewals, 1);
+}
+END_TEST
+
+static void
+unlist(struct plug_service *service, void *data)
+{
+	unsigned int at = *(unsigned int *)data;
+
+	service->members[at] = service->members[--service->member_count];
+}
+
+/* Guards against a flow that is called lost while its owner may live. */
+START_TEST(miss_asks_the_owner)
+{
+	struct plug_call call;
+	unsigned int owner = 0;
+
+	fleet_destroy(fleet);
+	fleet = fleet_create(4);
+	fleet_open(fleet, owner, token);
+	call = fleet_make_call(token, 1, SHORT_WRITE);
+	for (unsigned int at = 1; at < 4; at++) {
+		ck_assert_ptr_null(fleet_send(fleet, at, &call));
+		ck_assert_uint_eq(fleet_started(fleet), 1);
+	}
+	ck_assert_uint_eq(fleet_running(fleet, owner), 1);
+	fleet->agents[owner].dead = true;
+	ck_assert_ptr_null(fleet_send(fleet, 1, &call));
+	fleet_set_view(fleet, unlist, &owner);
+	for (unsigned int at = 1; at < 4; at++)
+		assert_outcome(
+		    fleet_send(fleet, at, &call), PLUG_OUTCOME_FLOW_LOST);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+/* Guards against all opening flows rushing to the sibling whose old report
+ * looks idle, and against choosing a sibling that is silent. */
+START_TEST(old_report_draws_no_herd)
+{
+	uint8_t tokens[200][PLUG_TOKEN_SIZE];
+	unsigned int at;
+
+	fleet_destroy(fleet);
+	fleet = fleet_create(4);
+	for (at = 0; at < 100; at++) {
+		fleet_open(fleet, 0, tokens[at]);
+		(void)fleet_call(fleet, 0, tokens[at], 1, PLUG_PROCEDURE_NULL);
+	}
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 100);
+	fleet_run(fleet, 500);
+	/* All 200 decisions are made on the same reports. */
+	for (at = 0; at < 200; at++)
+		fleet_open(fleet, 0, tokens[at]);
+	for (unsigned int i = 1; i < 4; i++)
+		ck_assert_uint_le(
+		    plug_agent_counter(agent(i), PLUG_COUNT_OPENED), 130);
+	ck_assert_uint_ge(plug_agent_counter(agent(0), PLUG_COUNT_OPENED), 130);
+	ck_assert_uint_gt(plug_agent_counter(agent(2), PLUG_COUNT_OPENED), 0);
+	/* Without reports the flow stays. */
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_REPORT;
+	fleet_run(fleet, 3600);
+	at = (unsigned int)plug_agent_counter(agent(0), PLUG_COUNT_FORWARDED);
+	fleet_open(fleet, 0, token);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_FORWARDED), at);
+}
+END_TEST
+
+/* Guards against refusals without a reason in the log and against memory that
+ * grows with callers who never use their token. */
+START_TEST(connections_are_bounded)
+{
+	for (unsigned int i = 0; i < 3000; i++)
+		(void)fleet_call(fleet, 0, NULL, 1, PLUG_PROCEDURE_NULL);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_OPENED), 2000);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_NOT_RUN), 1001);
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 0);
+}
+END_TEST
+
+Suite *
+agent_suite(void)
+{
+	Suite *suite = suite_create("agent");
+	TCase *test = tcase_create("agent");
+
+	tcase_add_checked_fixture(test, setup, teardown);
+	tcase_add_test(test, duplicates_run_once);
+	tcase_add_test(test, refusal_is_final);
+	tcase_add_test(test, no_record_means_flow_lost);
+	tcase_add_test(test, broken_connection);
+	tcase_add_test(test, cold_upstream_stays_within_its_limit);
+	tcase_add_test(test, deadlines);
+	tcase_add_test(test, foreign_packets_are_fenced);
+	tcase_add_test(test, domain_taken_out);
+	tcase_add_test(test, silent_upstream_is_replaced);
+	tcase_add_test(test, large_answers_come_in_blocks);
+	tcase_add_test(test, resends_renew_the_path);
+	tcase_add_test(test, miss_asks_the_owner);
+	tcase_add_test(test, old_report_draws_no_herd);
+	tcase_add_test(test, connections_are_bounded);
+	suite_add_tcase(suite, test);
+	return suite;
+}
--- /dev/null
+++ b/tests/unit/test_transfer.c
@@ -0,0 +1,483 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "suites.h"
+
+#define FLOWS 100
+
+static struct fleet *fleet;
+static uint8_t tokens[FLOWS][PLUG_TOKEN_SIZE];
+
+/* Opens flows at agent 0 while the others look busy elsewhere. */
+static void
+open_flows(unsigned int count)
+{
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_REPORT;
+	for (unsigned int i = 0; i < count; i++) {
+		fleet_open(fleet, 0, tokens[i]);
+		(void)fleet_call(fleet, 0, tokens[i], 1, PLUG_PROCEDURE_NULL);
+	}
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, count);
+	fleet->drop = 0;
+	fleet_run(fleet, 600);
+}
+
+static void
+setup(void)
+{
+	fleet = fleet_create(3);
+}
+
+static void
+teardown(void)
+{
+	fleet_destroy(fleet);
+}
+
+static struct plug_agent *
+agent(unsigned int at)
+{
+	return fleet->agents[at].agent;
+}
+
+static void
+stop(unsigned int at)
+{
+	const struct plug_agent_event event = { .kind = PLUG_AGENT_STOP };
+
+	fleet_event(fleet, at, &event);
+}
+
+static void
+assert_outcome(const struct plug_reply *reply, enum plug_outcome outcome)
+{
+	ck_assert_ptr_nonnull(reply);
+	ck_assert_str_eq(
+	    plug_outcome_name(reply->outcome), plug_outcome_name(outcome));
+}
+
+static void
+unlist(struct plug_service *service, void *data)
+{
+	unsigned int at = *(unsigned int *)data;
+
+	service->members[at] = service->members[--service->member_count];
+}
+
+static void
+kill_agent(unsigned int at)
+{
+	fleet->agents[at].dead = true;
+	fleet_set_view(fleet, unlist, &at);
+}
+
+/* Agent that took the flow of a token, other than agent 0. */
+static unsigned int
+new_owner(void)
+{
+	for (unsigned int i = 1; i < fleet->count; i++) {
+		if (plug_agent_counter(agent(i), PLUG_COUNT_MOVED_IN) > 0)
+			return i;
+	}
+	ck_abort_msg("no agent took the flow");
+	return 0;
+}
+
+/* Guards against a planned stop that breaks flows, interrupts requests, runs
+ * one twice or gives the upstream new work. */
+START_TEST(graceful_stop_moves_everything)
+{
+	unsigned int started;
+
+	open_flows(FLOWS);
+	for (unsigned int i = 0; i < FLOWS; i++)
+		(void)fleet_call(fleet, 0, tokens[i], 1, SHORT_WRITE);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+	stop(0);
+	fleet_run(fleet, 2500);
+	started = fleet_started(fleet);
+	ck_assert_uint_eq(started, 1);
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 0);
+	ck_assert_uint_eq(plug_agent_counter(agent(1), PLUG_COUNT_MOVED_IN) +
+			      plug_agent_counter(agent(2), PLUG_COUNT_MOVED_IN),
+	    FLOWS);
+	ck_assert_uint_le(
+	    plug_agent_counter(agent(1), PLUG_COUNT_MOVED_IN), 60);
+	ck_assert_uint_le(
+	    plug_agent_counter(agent(2), PLUG_COUNT_MOVED_IN), 60);
+	/* The request that runs is finished here, with its caller waiting. */
+	ck_assert(!fleet->agents[0].stopped);
+	assert_outcome(
+	    fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt")),
+	    PLUG_OUTCOME_DONE);
+	/* Requests that waited were refused and run at the new owner under a
+	 * new xid, through the old token. */
+	fleet->agents[1].auto_answer = fleet->agents[2].auto_answer = true;
+	for (unsigned int i = 0; i < FLOWS; i++) {
+		(void)fleet_call(fleet, 0, tokens[i], 2, SHORT_WRITE);
+		fleet_run(fleet, 20);
+		assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_DONE);
+		ck_assert(fleet_reply_to(fleet, 2)->has_token);
+		memcpy(tokens[i], fleet_reply_to(fleet, 2)->token,
+		    PLUG_TOKEN_SIZE);
+	}
+	ck_assert_uint_eq(fleet_started(fleet), started + FLOWS);
+	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_STARTED), 1);
+	/* The source may stop once every caller uses its new token. */
+	ck_assert(!fleet->agents[0].stopped);
+	for (unsigned int i = 0; i < FLOWS; i++)
+		(void)fleet_call(fleet, 1, tokens[i], 3, PLUG_PROCEDURE_NULL);
+	fleet_run(fleet, 20);
+	ck_assert(fleet->agents[0].stopped);
+	kill_agent(0);
+	/* The record went along: xid 1 of the first flow has its answer. */
+	for (unsigned int i = 0; i < FLOWS; i++) {
+		const struct plug_reply *reply =
+		    fleet_call(fleet, 1, tokens[i], 1, SHORT_WRITE);
+
+		ck_assert_ptr_nonnull(reply);
+		started += reply->outcome == PLUG_OUTCOME_DONE;
+	}
+	ck_assert_uint_eq(started, 2);
+	ck_assert_uint_eq(fleet_started(fleet), FLOWS + 1);
+}
+END_TEST
+
+/* Guards against a stop that waits forever for callers that have gone. */
+START_TEST(stop_lingers_for_fifteen_seconds)
+{
+	open_flows(2);
+	stop(0);
+	fleet_run(fleet, 14000);
+	ck_assert(!fleet->agents[0].stopped);
+	fleet_run(fleet, 1500);
+	ck_assert(fleet->agents[0].stopped);
+}
+END_TEST
+
+/* Guards against a target that runs what the dead source may have run, or
+ * that calls the flow lost while the source lives. */
+START_TEST(source_dies_before_commit)
+{
+	unsigned int at;
+
+	open_flows(1);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_COMMIT;
+	stop(0);
+	fleet_run(fleet, 100);
+	for (at = 1; at < 3; at++)
+		ck_assert_ptr_null(
+		    fleet_call(fleet, at, tokens[0], 1, SHORT_WRITE));
+	kill_agent(0);
+	for (at = 1; at < 3; at++) {
+		enum plug_outcome outcome =
+		    fleet_call(fleet, at, tokens[0], 1, SHORT_WRITE)->outcome;
+
+		/* Both end at the target, which holds the prepared flow. */
+		ck_assert_int_eq(outcome, PLUG_OUTCOME_UNKNOWN);
+		assert_outcome(fleet_call(fleet, at, tokens[0], 2, SHORT_READ),
+		    PLUG_OUTCOME_FLOW_LOST);
+	}
+	ck_assert_uint_eq(fleet_started(fleet), 0);
+}
+END_TEST
+
+/* Guards against a flow that is stuck with a target that died while it
+ * prepared. */
+START_TEST(target_dies_before_commit)
+{
+	open_flows(1);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_PREPARED;
+	stop(0);
+	fleet_run(fleet, 50);
+	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->retry_after_ms, 50);
+	ck_assert_uint_eq(fleet->peers[PLUG__MESSAGE__BODY_PREPARE], 1);
+	fleet_run(fleet, 2000);
+	ck_assert_uint_ge(fleet->peers[PLUG__MESSAGE__BODY_ABORT], 1);
+	fleet->drop = 0;
+	fleet_run(fleet, 3000);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_MOVED_OUT), 1);
+	(void)fleet_call(fleet, 0, tokens[0], 2, SHORT_WRITE);
+	ck_assert_uint_eq(fleet_running(fleet, new_owner()), 1);
+	/* The refusal has moved along with the flow. */
+	assert_outcome(
+	    fleet_call(fleet, new_owner(), tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+/* Guards against two owners, or none, when confirmations are lost, and against
+ * a refused request that runs at the new owner. */
+START_TEST(commit_is_repeated_until_confirmed)
+{
+	open_flows(1);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_PREPARED;
+	stop(0);
+	fleet_run(fleet, 20);
+	/* Refused after PREPARE: the record of the target lacks it. */
+	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_NOT_RUN);
+	fleet_run(fleet, 2000);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_COMMITTED;
+	fleet_run(fleet, 1200);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_COMMIT;
+	fleet_run(fleet, 100);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_MOVED_OUT), 0);
+	ck_assert_uint_ge(fleet->peers[PLUG__MESSAGE__BODY_COMMIT], 2);
+	/* Packets go to the new owner although it is not confirmed yet. */
+	(void)fleet_call(fleet, 0, tokens[0], 2, SHORT_WRITE);
+	ck_assert_uint_eq(fleet_running(fleet, new_owner()), 1);
+	fleet->drop = 0;
+	fleet_run(fleet, 600);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_MOVED_OUT), 1);
+	assert_outcome(
+	    fleet_call(fleet, new_owner(), tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+/* Guards against a refusal between PREPARE and COMMIT that only the source
+ * remembers: a late duplicate would run at the target. */
+START_TEST(refusal_while_frozen_reaches_the_target)
+{
+	open_flows(1);
+	fleet->hold = 1U << PLUG__MESSAGE__BODY_PREPARED;
+	stop(0);
+	fleet_run(fleet, 50);
+	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_NOT_RUN);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_COMMIT;
+	fleet_release(fleet);
+	fleet->drop = 0;
+	fleet_run(fleet, 600);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(0), PLUG_COUNT_MOVED_OUT), 1);
+	assert_outcome(
+	    fleet_call(fleet, new_owner(), tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_eq(fleet_started(fleet), 0);
+}
+END_TEST
+
+/* Guards against a duplicate that starts at the new owner what still runs at
+ * the previous one. */
+START_TEST(running_request_completes_at_the_new_owner)
+{
+	unsigned int owner;
+	struct plug_call call;
+
+	open_flows(1);
+	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
+	stop(0);
+	fleet_run(fleet, 100);
+	owner = new_owner();
+	call = fleet_make_call(tokens[0], 1, SHORT_WRITE);
+	call.attempt = 1;
+	fleet->reply_count = 0;
+	ck_assert_ptr_null(fleet_send(fleet, owner, &call));
+	ck_assert_ptr_null(fleet_send(fleet, 0, &call));
+	(void)fleet_answer(
+	    fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt"));
+	/* Both the source and, to the waiting duplicate, the new owner. */
+	ck_assert_uint_eq(fleet->reply_count, 2);
+	fleet->agents[0].dead = true;
+	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->total, 7);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+/* Guards against a duplicate that waits forever for a source that died, or
+ * for a COMPLETION that was lost. */
+START_TEST(lost_completion)
+{
+	struct plug_call call;
+	unsigned int owner;
+
+	open_flows(2);
+	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
+	stop(0);
+	fleet_run(fleet, 100);
+	owner = plug_agent_counter(agent(1), PLUG_COUNT_MOVED_IN) > 0 ? 1 : 2;
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_COMPLETION;
+	(void)fleet_answer(
+	    fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt"));
+	fleet->drop = 0;
+	call = fleet_make_call(tokens[0], 1, SHORT_WRITE);
+	call.attempt = 1;
+	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	fleet->agents[0].dead = true;
+	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+START_TEST(source_dies_while_a_request_runs)
+{
+	struct plug_call call;
+
+	open_flows(1);
+	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
+	stop(0);
+	fleet_run(fleet, 100);
+	kill_agent(0);
+	call = fleet_make_call(tokens[0], 1, SHORT_WRITE);
+	assert_outcome(
+	    fleet_send(fleet, new_owner(), &call), PLUG_OUTCOME_UNKNOWN);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+/* Guards against a flow whose target died after COMMIT and that nobody ever
+ * answers for. */
+START_TEST(target_dies_after_commit)
+{
+	open_flows(1);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_COMMITTED;
+	stop(0);
+	fleet_run(fleet, 100);
+	kill_agent(new_owner());
+	fleet_run(fleet, 100);
+	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_FLOW_LOST);
+	ck_assert_uint_eq(fleet_started(fleet), 0);
+}
+END_TEST
+
+/* Guards against a large answer that is lost or breaks the frame limit when
+ * its flow moves. */
+START_TEST(large_answer_follows_the_commit)
+{
+	static char body[100000];
+	struct plug_call call;
+	unsigned int owner;
+
+	open_flows(1);
+	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
+	(void)fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE,
+	    (struct plug_str){ body, sizeof(body) });
+	stop(0);
+	fleet_run(fleet, 100);
+	owner = new_owner();
+	kill_agent(0);
+	call = fleet_make_call(tokens[0], 1, SHORT_WRITE);
+	call.offset = 98400;
+	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->total, sizeof(body));
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+static void
+set_leaving(struct plug_service *service, void *data)
+{
+	service->members[*(unsigned int *)data].state = PLUG_MEMBER_LEAVING;
+}
+
+/* Guards against a leaving agent without siblings that drops what runs or
+ * starts new work. */
+START_TEST(leaving_alone)
+{
+	unsigned int at = 0;
+
+	fleet_destroy(fleet);
+	fleet = fleet_create(1);
+	open_flows(1);
+	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
+	(void)fleet_call(fleet, 0, tokens[0], 2, SHORT_WRITE);
+	fleet_set_view(fleet, set_leaving, &at);
+	assert_outcome(fleet_call(fleet, 0, tokens[0], 3, SHORT_WRITE),
+	    PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_gt(fleet_reply_to(fleet, 3)->retry_after_ms, 0);
+	fleet_run(fleet, 2100);
+	assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
+	assert_outcome(
+	    fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt")),
+	    PLUG_OUTCOME_DONE);
+	assert_outcome(fleet_call(fleet, 0, tokens[0], 4, PLUG_PROCEDURE_NULL),
+	    PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+	ck_assert(!fleet->agents[0].stopped);
+	stop(0);
+	fleet_run(fleet, 40000);
+	ck_assert(fleet->agents[0].stopped);
+}
+END_TEST
+
+/* Guards against an upstream that drains and still gets flows or work. */
+START_TEST(draining_upstream_gets_no_new_work)
+{
+	const struct plug_agent_event event = {
+		.kind = PLUG_AGENT_UPSTREAM_HEALTH,
+		.health = { .uptime = 10, .draining = true },
+	};
+
+	open_flows(10);
+	fleet_event(fleet, 0, &event);
+	fleet_run(fleet, 100);
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 0);
+	fleet_open(fleet, 0, tokens[0]);
+	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
+	ck_assert_uint_eq(fleet_running(fleet, 0), 0);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
+}
+END_TEST
+
+/* Guards against rebalancing that moves too much at once, or back and forth. */
+START_TEST(rebalancing_is_slow_and_settles)
+{
+	unsigned int total = 0;
+
+	open_flows(FLOWS);
+	fleet_run(fleet, 4300);
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, FLOWS);
+	fleet_run(fleet, 10000);
+	ck_assert_uint_ge(fleet_load(fleet, 0).flows, FLOWS - 22);
+	ck_assert_uint_lt(fleet_load(fleet, 0).flows, FLOWS - 10);
+	fleet_run(fleet, 70000);
+	for (unsigned int i = 0; i < 3; i++) {
+		ck_assert_uint_le(fleet_load(fleet, i).flows, 38);
+		total += fleet_load(fleet, i).flows;
+	}
+	ck_assert_uint_eq(total, FLOWS);
+	ck_assert_uint_le(
+	    plug_agent_counter(agent(0), PLUG_COUNT_MOVED_OUT) +
+		plug_agent_counter(agent(1), PLUG_COUNT_MOVED_OUT) +
+		plug_agent_counter(agent(2), PLUG_COUNT_MOVED_OUT),
+	    80);
+}
+END_TEST
+
+Suite *
+transfer_suite(void)
+{
+	Suite *suite = suite_create("transfer");
+	TCase *test = tcase_create("transfer");
+
+	tcase_add_checked_fixture(test, setup, teardown);
+	tcase_add_test(test, graceful_stop_moves_everything);
+	tcase_add_test(test, stop_lingers_for_fifteen_seconds);
+	tcase_add_test(test, source_dies_before_commit);
+	tcase_add_test(test, target_dies_before_commit);
+	tcase_add_test(test, commit_is_repeated_until_confirmed);
+	tcase_add_test(test, refusal_while_frozen_reaches_the_target);
+	tcase_add_test(test, running_request_completes_at_the_new_owner);
+	tcase_add_test(test, lost_completion);
+	tcase_add_test(test, source_dies_while_a_request_runs);
+	tcase_add_test(test, target_dies_after_commit);
+	tcase_add_test(test, large_answer_follows_the_commit);
+	tcase_add_test(test, leaving_alone);
+	tcase_add_test(test, draining_upstream_gets_no_new_work);
+	tcase_add_test(test, rebalancing_is_slow_and_settles);
+	suite_add_tcase(suite, test);
+	return suite;
+}
