--- a/libplantainlug/placement.c
+++ b/libplantainlug/placement.c
@@ -300,6 +300,51 @@
 		sibling->avoid_until = until;
 }
 
+/* Load on an upstream that is warm, or will be soon. */
+static double
+warm_load(const struct plug_sibling *sibling)
+{
+	struct plug_load load = sibling->load;
+
+	load.limit = load.slots;
+	return plug_load_per_slot(&load, sibling->sent);
+}
+
+/**
+ * plug_placement_lightest() - choose who gets flows of a loaded agent
+ * @placement: placement
+ * @now: time
+ * @service: service in the current view
+ * @domain: own domain
+ * @load: own load per warm slot
+ *
+ * Open flows outlast a cold start, so loads are compared by warm slots.
+ *
+ * Return: the least loaded sibling of the own domain, or else of another one,
+ * when the own load exceeds its load by the margin; or NULL.
+ */
+const struct plug_sibling *
+plug_placement_lightest(const struct plug_placement *placement, plug_time now,
+    const struct plug_service *service, uint32_t domain, double load)
+{
+	const struct plug_sibling *own = NULL, *other = NULL;
+
+	for (unsigned int i = 0; i < PLUG_SIBLINGS_MAX; i++) {
+		const struct plug_sibling *sibling = &placement->siblings[i];
+		const struct plug_sibling **best =
+		    sibling->domain == domain ? &own : &other;
+
+		if (plug_placement_usable(sibling, service, now) &&
+		    (*best == NULL || warm_load(sibling) < warm_load(*best)))
+			*best = sibling;
+	}
+	if (own != NULL && load > OWN_DOMAIN_MARGIN * warm_load(own))
+		return own;
+	if (other != NULL && load > OTHER_DOMAIN_MARGIN * warm_load(other))
+		return other;
+	return NULL;
+}
+
 /**
  * plug_placement_mean() - mean load per warm slot of the siblings
  * @placement: placement
@@ -318,12 +363,10 @@
 
 	for (unsigned int i = 0; i < PLUG_SIBLINGS_MAX; i++) {
 		const struct plug_sibling *sibling = &placement->siblings[i];
-		struct plug_load load = sibling->load;
 
 		if (!plug_placement_usable(sibling, service, now))
 			continue;
-		load.limit = load.slots;
-		sum += plug_load_per_slot(&load, sibling->sent);
+		sum += warm_load(sibling);
 		count++;
 	}
 	if (count > 0)
--- a/libplantainlug/placement.h
+++ b/libplantainlug/placement.h
@@ -75,6 +75,9 @@
     uint64_t flow, uint32_t own_flows);
 void plug_placement_avoid(struct plug_placement *placement,
     struct plug_endpoint endpoint, plug_time until);
+const struct plug_sibling *
+plug_placement_lightest(const struct plug_placement *placement, plug_time now,
+    const struct plug_service *service, uint32_t domain, double load);
 bool plug_placement_mean(const struct plug_placement *placement, plug_time now,
     const struct plug_service *service, double *mean);
 void plug_placement_sent(struct plug_placement *placement,
