--- a/standins/caller.c
+++ b/standins/caller.c
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "../cli/commands.h"
+#include "cli/commands.h"
 #include "callerflow.h"
 #include "inner.h"
 #include "standin.h"
@@ -558,8 +558,7 @@
 	int status;
 
 	(void)setvbuf(stdout, NULL, _IOLBF, 0);
-	status = plug_standin_parse("standin-caller", argc, argv, table);
-	if (status != 0)
+	if (!plug_standin_parse(argc, argv, table, &status))
 		goto out;
 	status = EXIT_FAILURE;
 	if (!plug_standin_endpoint(service->sval[0], &group.service))
--- a/standins/fabric.c
+++ b/standins/fabric.c
@@ -10,7 +10,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include "../cli/commands.h"
+#include "cli/commands.h"
 #include "inner.h"
 #include "standin.h"
 
@@ -356,15 +356,16 @@
 	struct arg_end *end = arg_end(4);
 	void *table[] = { services, listen, entries, file, loss, duplication,
 		wait, jitter, seed, end };
-	struct fabric *fabric;
+	struct fabric *fabric = NULL;
 	int status;
 
 	(void)setvbuf(stdout, NULL, _IOLBF, 0);
-	status = plug_standin_parse("standin-fabric", argc, argv, table);
-	fabric = calloc(1, sizeof(*fabric));
-	if (status != 0 || fabric == NULL)
+	if (!plug_standin_parse(argc, argv, table, &status))
 		goto out;
 	status = EXIT_FAILURE;
+	fabric = calloc(1, sizeof(*fabric));
+	if (fabric == NULL)
+		goto out;
 	fabric->client.random[0] =
 	    (unsigned short)(seed->count > 0 ? seed->ival[0] : 1);
 	fabric->loss = loss->count > 0 ? loss->dval[0] : 0;
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -11,7 +11,7 @@
 int plug_standin_bind(int type, struct plug_endpoint *local);
 int plug_standin_signals(void);
 int plug_standin_take_signal(int fd);
-int plug_standin_parse(const char *name, int argc, char **argv, void **table);
+bool plug_standin_parse(int argc, char **argv, void **table, int *status);
 bool plug_standin_endpoint(const char *text, struct plug_endpoint *endpoint);
 struct sockaddr_in plug_standin_to_sockaddr(struct plug_endpoint endpoint);
 struct plug_endpoint plug_standin_from_sockaddr(struct sockaddr_in in);
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -12,7 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "../cli/commands.h"
+#include "cli/commands.h"
 #include "libplantainlug/agent.h"
 #include "standin.h"
 #include "workload.h"
@@ -741,15 +741,16 @@
 	struct arg_end *end = arg_end(4);
 	void *table[] = { listen, service, slots, short_ms, bulk_ms, cold_slots,
 		cold_ms, cold_factor, cold_fails, lag, lie, record, seed, end };
-	struct upstream *up;
+	struct upstream *up = NULL;
 	int status;
 
 	(void)setvbuf(stdout, NULL, _IOLBF, 0);
-	status = plug_standin_parse("standin-upstream", argc, argv, table);
-	up = calloc(1, sizeof(*up));
-	if (status != 0 || up == NULL)
+	if (!plug_standin_parse(argc, argv, table, &status))
 		goto out;
 	status = EXIT_FAILURE;
+	up = calloc(1, sizeof(*up));
+	if (up == NULL)
+		goto out;
 	up->service = (uint32_t)service->ival[0];
 	up->slots = (unsigned int)number(slots, 2);
 	up->cold_slots = (unsigned int)number(cold_slots, 1);
