--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -9,6 +9,10 @@
 	SRunner *runner = srunner_create(packet_suite());
 	int failed;
 
+	srunner_add_suite(runner, router_suite());
+	srunner_add_suite(runner, document_suite());
+	srunner_add_suite(runner, keystore_suite());
+	srunner_add_suite(runner, settings_suite());
 	srunner_add_suite(runner, callerflow_suite());
 	srunner_add_suite(runner, token_suite());
 	srunner_run_all(runner, CK_ENV);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -3,8 +3,12 @@
 
 #include <check.h>
 
+Suite *document_suite(void);
+Suite *keystore_suite(void);
 Suite *callerflow_suite(void);
 Suite *packet_suite(void);
+Suite *router_suite(void);
+Suite *settings_suite(void);
 Suite *token_suite(void);
 
 #endif
