Test refused openings and lost blocks of the caller flow

Cause: three paths of the caller's flow had no test: an opening that is refused, a block that is lost, a refusal after a block has arrived.

Change: three unit cases.

--- a/tests/unit/test_callerflow.c
+++ b/tests/unit/test_callerflow.c
@@ -305,6 +305,73 @@
 }
 END_TEST
 
+/* Guards against a caller that gives up, or hurries, when nobody can open. */
+START_TEST(refused_opening_waits)
+{
+	struct plug_reply refusal = { .outcome = PLUG_OUTCOME_NOT_RUN,
+		.retry_after_ms = 100 };
+	size_t sent;
+
+	plug_callerflow_finish(&t.flow);
+	plug_callerflow_init(&t.flow, &t.client, &handler, caller, service, 7);
+	plug_callerflow_open(&t.flow, 0);
+	refusal.xid = last_call()->xid;
+	sent = t.sent;
+	deliver(0, refusal, NULL);
+	run(0, 90 * PLUG_MSEC);
+	ck_assert_uint_eq(t.sent, sent);
+	run(100 * PLUG_MSEC, 100 * PLUG_MSEC);
+	ck_assert_uint_eq(t.sent, sent + 1);
+	ck_assert_uint_eq(t.broken, 0);
+	submit(100 * PLUG_MSEC);
+	run(110 * PLUG_MSEC, PLUG_CALLERFLOW_PATIENCE);
+	ck_assert_uint_eq(t.broken, 1);
+	ck_assert_uint_eq(t.settled, 1);
+	ck_assert_int_eq(t.last.outcome, PLUG_CALLERFLOW_NOT_RUN);
+}
+END_TEST
+
+/* Guards against a download that stops at the first block that is lost. */
+START_TEST(lost_block_is_asked_for_again)
+{
+	static const char zeros[2 * PLUG_BLOCK_SIZE];
+	struct plug_reply reply = { .xid = submit(0),
+		.total = sizeof(zeros),
+		.crc = XXH32(zeros, sizeof(zeros), 0),
+		.body = { zeros, PLUG_BLOCK_SIZE } };
+	size_t sent;
+
+	deliver(0, reply, NULL);
+	ck_assert_uint_eq(last_call()->offset, PLUG_BLOCK_SIZE);
+	ck_assert_uint_eq(last_call()->attempt, 0);
+	sent = t.sent;
+	run(0, 250 * PLUG_MSEC);
+	ck_assert_uint_eq(t.sent, sent + 1);
+	ck_assert_uint_eq(last_call()->offset, PLUG_BLOCK_SIZE);
+	ck_assert_uint_eq(last_call()->attempt, 1);
+	reply.offset = PLUG_BLOCK_SIZE;
+	deliver(250 * PLUG_MSEC, reply, NULL);
+	ck_assert_int_eq(t.last.outcome, PLUG_CALLERFLOW_ANSWERED);
+}
+END_TEST
+
+/* Guards against "not run" for a request whose answer has begun to arrive. */
+START_TEST(refusal_after_a_block_is_unknown)
+{
+	static const char zeros[2 * PLUG_BLOCK_SIZE];
+	struct plug_reply reply = { .xid = submit(0),
+		.total = sizeof(zeros),
+		.body = { zeros, PLUG_BLOCK_SIZE } };
+	struct plug_reply refusal = { .xid = reply.xid,
+		.outcome = PLUG_OUTCOME_NOT_RUN };
+
+	deliver(0, reply, NULL);
+	deliver(0, refusal, NULL);
+	ck_assert_uint_eq(t.settled, 1);
+	ck_assert_int_eq(t.last.outcome, PLUG_CALLERFLOW_UNKNOWN);
+}
+END_TEST
+
 Suite *
 callerflow_suite(void)
 {
@@ -322,6 +389,9 @@
 	tcase_add_test(test, window_is_bounded);
 	tcase_add_test(test, large_answer_is_complete);
 	tcase_add_test(test, damaged_answer_is_refused);
+	tcase_add_test(test, refused_opening_waits);
+	tcase_add_test(test, lost_block_is_asked_for_again);
+	tcase_add_test(test, refusal_after_a_block_is_unknown);
 	suite_add_tcase(suite, test);
 	return suite;
 }
