Run the whole path as separate processes

The first run failed because "listen" refused port 0.

Ruled out: choosing ports in the demonstration, which races with other programs; the processes print the address that they got.

Change: the reader of the configuration service and the stand-in for it are connected; "listen" takes port 0; the subcommand table has all programs.

The final stop still needs a second signal for 9 agents that have nowhere to move idle flows.

--- a/cli/commands.h
+++ b/cli/commands.h
@@ -17,11 +17,9 @@
 int plug_cli_agent(int argc, char **argv);
 int plug_cli_status(int argc, char **argv);
 int plug_cli_check(int argc, char **argv);
-int plug_cli_standin_config(int argc, char **argv);
 int plug_cli_standin_fabric(int argc, char **argv);
 int plug_cli_standin_upstream(int argc, char **argv);
 int plug_cli_standin_caller(int argc, char **argv);
-int plug_cli_scenario(int argc, char **argv);
 int plug_cli_explain(int argc, char **argv);
 
 int plug_cli_run(int argc, char **argv, enum plug_role role,
--- a/cli/main.c
+++ b/cli/main.c
@@ -3,6 +3,7 @@
 
 #include "commands.h"
 #include "libplantainlug/plantainlug.h"
+#include "standins/configservice.h"
 
 static const struct command {
 	const char *name;
@@ -12,6 +13,9 @@
 	{ "entry", plug_cli_entry, "run an entry" },
 	{ "agent", plug_cli_agent, "run an agent" },
 	{ "status", plug_cli_status, "print the state of an entry or agent" },
+	{ "check", plug_cli_check, "check a document or a settings file" },
+	{ "standin-config", plug_standin_config_main,
+	    "serve files as the configuration service" },
 	{ "standin-fabric", plug_cli_standin_fabric,
 	    "spray callers' packets over entries" },
 	{ "standin-upstream", plug_cli_standin_upstream, "run an upstream" },
--- a/libplantainlug/jsonread.h
+++ b/libplantainlug/jsonread.h
@@ -37,6 +37,7 @@
 	PLUG_JSON_NAME,	    /* char[PLUG_NAME_SIZE]: letters, digits, "._-" */
 	PLUG_JSON_TEXT,	    /* char[max], any characters */
 	PLUG_JSON_ENDPOINT, /* struct plug_endpoint from "ip:port" */
+	PLUG_JSON_LISTEN,   /* the same, with port 0 for an ephemeral one */
 	PLUG_JSON_CHOICE,   /* index in names as an unsigned int */
 	PLUG_JSON_CUSTOM,   /* the read function fills the whole target */
 };
--- a/net/control.c
+++ b/net/control.c
@@ -65,7 +65,7 @@
 		break;
 	case PLUG_ACTION_WATCH:
 		if (control->platform != NULL)
-			plug_platform_watch(control->platform,
+			(void)plug_platform_watch(control->platform,
 			    action->watch.key, action->watch.index);
 		break;
 	case PLUG_ACTION_UNWATCH:
@@ -130,12 +130,15 @@
 }
 
 static void
-receive_failure(void *data, struct plug_str key)
+receive_failure(void *data, struct plug_str key, const char *reason)
 {
 	struct plug_control *control = data;
 	const struct plug_node_event event = { .kind = PLUG_NODE_FAILURE,
 		.failure = key };
 
+	plug_log_event(control->log, PLUG_LOG_WARN,
+	    "event=config_query_failed key=%.*s reason=\"%s\"", (int)key.len,
+	    key.data, reason);
 	plug_node_handle(control->node, tick_if_due(control), &event);
 }
 
@@ -317,9 +320,12 @@
 	char address[32];
 
 	if (settings->config_service_count > 0) {
+		const struct plug_platform_handlers handlers = { receive_value,
+			receive_failure, control };
+
 		control->platform = plug_platform_create(
 		    settings->config_services, settings->config_service_count,
-		    receive_value, receive_failure, control);
+		    control->instance, &handlers);
 		if (control->platform == NULL)
 			return plug_status_set(status, PLUG_E_LIBRARY,
 			    "libcurl can't be initialized");
