Keep the floor of a frozen flow and split the transfer by role

A caller that settled a refused xid while its flow was frozen removed it from the list in COMMIT, while the target still held the older floor; a late duplicate could then run there. Found by reading; the unit test covers it.

--- a/libplantainlug/agent_flow.c
+++ b/libplantainlug/agent_flow.c
@@ -228,7 +228,7 @@
 			plug_transfer_renewed(&agent->transfer, flow);
 	}
 	if (call->procedure == PLUG_PROCEDURE_NULL) {
-		plug_agent_settle(agent, flow, call->floor);
+		plug_agent_raise_floor(agent, flow, call->floor);
 		plug_agent_reply(agent, now, call, flow, PLUG_OUTCOME_DONE, 0);
 		return;
 	}
--- a/libplantainlug/agent_internal.h
+++ b/libplantainlug/agent_internal.h
@@ -102,6 +102,8 @@
     struct plug_flow *flow, const struct plug_call *call);
 void plug_agent_settle(
     struct plug_agent *agent, struct plug_flow *flow, uint32_t floor);
+void plug_agent_raise_floor(
+    struct plug_agent *agent, struct plug_flow *flow, uint32_t floor);
 void plug_agent_refuse_queued(struct plug_agent *agent, plug_time now,
     struct plug_flow *flow, const char *reason, uint32_t retry_after_ms);
 void plug_agent_requests_tick(struct plug_agent *agent, plug_time now);
--- a/libplantainlug/agent_request.c
+++ b/libplantainlug/agent_request.c
@@ -56,6 +56,23 @@
 	}
 }
 
+/**
+ * plug_agent_raise_floor() - take note of the floor that a call states
+ * @agent: agent
+ * @flow: flow
+ * @floor: the caller's floor
+ *
+ * The floor of a frozen flow stays, since its target has been told the old one
+ * and must learn of every xid above it that was refused meanwhile.
+ */
+void
+plug_agent_raise_floor(
+    struct plug_agent *agent, struct plug_flow *flow, uint32_t floor)
+{
+	if (flow->state == PLUG_FLOW_OPEN)
+		plug_agent_settle(agent, flow, floor);
+}
+
 /**
  * plug_agent_refuse_queued() - give up the requests of a flow that wait
  * @agent: agent
@@ -269,7 +286,7 @@
 	    plug_document_operation(&agent->service->document, call->procedure);
 	struct plug_request *request;
 
-	plug_agent_settle(agent, flow, call->floor);
+	plug_agent_raise_floor(agent, flow, call->floor);
 	switch (plug_flow_check(flow, call->xid)) {
 	case PLUG_OK:
 		break;
--- /dev/null
+++ b/libplantainlug/transfer_source.c
@@ -0,0 +1,456 @@
+#include <stdlib.h>
+
+#include "transfer_internal.h"
+
+#define PREPARE_TIMEOUT	 (2 * PLUG_SEC) /* then another target is tried */
+#define COMMIT_INTERVAL	 (500 * PLUG_MSEC)
+#define INLINE_BATCH_MAX 262144 /* bytes of answers in one PREPARE */
+
+/* Memory of one PREPARE message; large, so it is allocated for the call. */
+struct prepare_buffers {
+	Plug__FlowRecord records[PLUG_BATCH_FLOWS];
+	Plug__FlowRecord *record_pointers[PLUG_BATCH_FLOWS];
+	Plug__RequestRecord requests[PLUG_BATCH_FLOWS][PLUG_FLOW_WINDOW];
+	Plug__RequestRecord *pointers[PLUG_BATCH_FLOWS][PLUG_FLOW_WINDOW];
+	size_t inline_bytes;
+};
+
+/*
+ * Fills the record of one request. Returns false when it is left out: an
+ * idempotent request whose answer was dropped may run again anywhere.
+ */
+static bool
+put_request(struct prepare_buffers *buffers, struct plug_request *request,
+    Plug__RequestRecord *record)
+{
+	plug__request_record__init(record);
+	record->xid = request->xid;
+	record->idempotent = request->idempotent;
+	switch (request->state) {
+	case PLUG_REQUEST_QUEUED:
+	case PLUG_REQUEST_RUNNING:
+	case PLUG_REQUEST_ELSEWHERE:
+		break;
+	case PLUG_REQUEST_REFUSED:
+		record->state = PLUG__REQUEST_STATE__REQUEST_REFUSED;
+		return true;
+	case PLUG_REQUEST_UNKNOWN:
+		record->state = PLUG__REQUEST_STATE__REQUEST_UNKNOWN;
+		return true;
+	case PLUG_REQUEST_DONE:
+		if (!request->is_stored)
+			return !request->idempotent;
+		if (request->len > PLUG_INLINE_ANSWER_MAX ||
+		    buffers->inline_bytes + request->len > INLINE_BATCH_MAX)
+			break;
+		buffers->inline_bytes += request->len;
+		record->state = PLUG__REQUEST_STATE__REQUEST_DONE;
+		record->answer.data = request->data;
+		record->answer.len = request->len;
+		return true;
+	}
+	record->state = PLUG__REQUEST_STATE__REQUEST_RUNNING_ELSEWHERE;
+	request->is_owed = true;
+	return true;
+}
+
+static void
+put_flow(struct prepare_buffers *buffers, unsigned int at,
+    const struct plug_flow *flow)
+{
+	Plug__FlowRecord *record = &buffers->records[at];
+
+	plug__flow_record__init(record);
+	buffers->record_pointers[at] = record;
+	record->flow = flow->id;
+	record->generation = flow->generation;
+	record->floor = flow->floor;
+	record->caller_address = flow->caller.address;
+	record->caller_port = flow->caller.port;
+	record->requests = buffers->pointers[at];
+	for (unsigned int i = 0; i < PLUG_FLOW_WINDOW; i++) {
+		size_t n = record->n_requests;
+
+		if (flow->window[i] == NULL ||
+		    !put_request(
+			buffers, flow->window[i], &buffers->requests[at][n]))
+			continue;
+		buffers->pointers[at][n] = &buffers->requests[at][n];
+		record->n_requests++;
+	}
+}
+
+/**
+ * plug_transfer_begin() - freeze flows and offer them to a sibling
+ * @transfer: transfer
+ * @now: time
+ * @target: address of the sibling
+ * @flows: open flows without waiting requests
+ * @count: length of @flows; at most PLUG_BATCH_FLOWS are taken
+ *
+ * Return: flows taken; 0 when too many batches are on their way or memory ran
+ * out.
+ */
+unsigned int
+plug_transfer_begin(struct plug_transfer *transfer, plug_time now,
+    struct plug_endpoint target, struct plug_flow *const *flows,
+    unsigned int count)
+{
+	Plug__Message message = PLUG__MESSAGE__INIT;
+	Plug__Prepare prepare = PLUG__PREPARE__INIT;
+	struct plug_batch_out *batch = NULL;
+	struct prepare_buffers *buffers;
+
+	for (unsigned int i = 0; i < PLUG_BATCHES_OUT; i++) {
+		if (transfer->out[i].id == 0)
+			batch = &transfer->out[i];
+	}
+	if (batch == NULL || count == 0)
+		return 0;
+	buffers = calloc(1, sizeof(*buffers));
+	if (buffers == NULL)
+		return 0;
+	if (count > PLUG_BATCH_FLOWS)
+		count = PLUG_BATCH_FLOWS;
+	*batch = (struct plug_batch_out){
+		.id = plug_client_random_id(transfer->client),
+		.target = target,
+		.started = now,
+		.sent = now,
+		.count = count,
+	};
+	for (unsigned int i = 0; i < count; i++) {
+		batch->flows[i] = flows[i]->id;
+		flows[i]->peer = target;
+		flows[i]->batch = batch->id;
+		plug_flowtable_set_state(
+		    transfer->flows, flows[i], PLUG_FLOW_FROZEN, now);
+		put_flow(buffers, i, flows[i]);
+	}
+	prepare.batch = batch->id;
+	prepare.n_flows = count;
+	prepare.flows = buffers->record_pointers;
+	message.body_case = PLUG__MESSAGE__BODY_PREPARE;
+	message.prepare = &prepare;
+	plug_transfer_send(transfer, target, &message);
+	free(buffers);
+	return count;
+}
+
+/* The flow of a batch, unless it has been closed meanwhile. */
+static struct plug_flow *
+batch_flow(const struct plug_transfer *transfer,
+    const struct plug_batch_out *batch, unsigned int at)
+{
+	struct plug_flow *flow =
+	    plug_flowtable_find(transfer->flows, batch->flows[at]);
+
+	return flow != NULL && flow->batch == batch->id ? flow : NULL;
+}
+
+static void
+resume(struct plug_transfer *transfer, plug_time now, struct plug_flow *flow)
+{
+	for (unsigned int i = 0; i < PLUG_FLOW_WINDOW; i++) {
+		if (flow->window[i] != NULL)
+			flow->window[i]->is_owed = false;
+	}
+	flow->batch = 0;
+	plug_flowtable_set_state(transfer->flows, flow, PLUG_FLOW_OPEN, now);
+	plug_transfer_notify(transfer, now, PLUG_TRANSFER_RESUMED, flow, NULL);
+}
+
+static void
+send_abort(const struct plug_transfer *transfer, struct plug_endpoint target,
+    uint64_t id)
+{
+	Plug__Message message = PLUG__MESSAGE__INIT;
+	Plug__Abort body = PLUG__ABORT__INIT;
+
+	body.batch = id;
+	message.body_case = PLUG__MESSAGE__BODY_ABORT;
+	message.abort = &body;
+	plug_transfer_send(transfer, target, &message);
+}
+
+static void
+abort_batch(
+    struct plug_transfer *transfer, plug_time now, struct plug_batch_out *batch)
+{
+	send_abort(transfer, batch->target, batch->id);
+	for (unsigned int i = 0; i < batch->count; i++) {
+		struct plug_flow *flow = batch_flow(transfer, batch, i);
+
+		if (flow != NULL && flow->state == PLUG_FLOW_FROZEN)
+			resume(transfer, now, flow);
+	}
+	batch->id = 0;
+}
+
+static size_t
+put_refused(const struct plug_flow *flow, Plug__RefusedRequest *refused)
+{
+	size_t count = 0;
+
+	for (unsigned int i = 0; i < PLUG_FLOW_WINDOW; i++) {
+		const struct plug_request *request = flow->window[i];
+
+		if (request == NULL || !request->is_owed ||
+		    request->state != PLUG_REQUEST_REFUSED)
+			continue;
+		plug__refused_request__init(&refused[count]);
+		refused[count].flow = flow->id;
+		refused[count].xid = request->xid;
+		count++;
+	}
+	return count;
+}
+
+/* A COMMIT that can't be built is sent with the next tick. */
+static void
+send_commit(struct plug_transfer *transfer, struct plug_batch_out *batch)
+{
+	const size_t max = (size_t)batch->count * PLUG_FLOW_WINDOW;
+	Plug__RefusedRequest *refused = calloc(max, sizeof(*refused));
+	Plug__RefusedRequest **pointers =
+	    calloc(max, sizeof(Plug__RefusedRequest *));
+	Plug__Message message = PLUG__MESSAGE__INIT;
+	Plug__Commit commit = PLUG__COMMIT__INIT;
+
+	if (refused != NULL && pointers != NULL) {
+		for (unsigned int i = 0; i < batch->count; i++) {
+			struct plug_flow *flow = batch_flow(transfer, batch, i);
+
+			if (flow != NULL)
+				commit.n_refused += put_refused(
+				    flow, refused + commit.n_refused);
+		}
+		for (size_t i = 0; i < commit.n_refused; i++)
+			pointers[i] = &refused[i];
+		commit.batch = batch->id;
+		commit.refused = pointers;
+		message.body_case = PLUG__MESSAGE__BODY_COMMIT;
+		message.commit = &commit;
+		plug_transfer_send(transfer, batch->target, &message);
+	}
+	free(pointers);
+	free(refused);
+}
+
+static struct plug_batch_out *
+find_out(
+    struct plug_transfer *transfer, uint64_t id, struct plug_endpoint target)
+{
+	for (unsigned int i = 0; i < PLUG_BATCHES_OUT; i++) {
+		if (id != 0 && transfer->out[i].id == id &&
+		    plug_endpoint_equal(transfer->out[i].target, target))
+			return &transfer->out[i];
+	}
+	return NULL;
+}
+
+static bool
+accepted(const Plug__Prepared *prepared, uint64_t flow)
+{
+	for (size_t i = 0; i < prepared->n_flows; i++) {
+		if (prepared->flows[i] == flow)
+			return true;
+	}
+	return false;
+}
+
+/**
+ * plug_transfer_prepared_by() - a target has accepted flows: commit them
+ * @transfer: transfer
+ * @now: time
+ * @from: address of the target
+ * @prepared: message
+ *
+ * Flows that it doesn't list resume here.
+ */
+void
+plug_transfer_prepared_by(struct plug_transfer *transfer, plug_time now,
+    struct plug_endpoint from, const Plug__Prepared *prepared)
+{
+	struct plug_batch_out *batch =
+	    find_out(transfer, prepared->batch, from);
+	unsigned int kept = 0;
+
+	if (batch == NULL) {
+		/* Aborted; the first ABORT may have been lost. */
+		send_abort(transfer, from, prepared->batch);
+		return;
+	}
+	if (batch->committed)
+		return;
+	for (unsigned int i = 0; i < batch->count; i++) {
+		struct plug_flow *flow = batch_flow(transfer, batch, i);
+
+		if (flow == NULL || flow->state != PLUG_FLOW_FROZEN)
+			continue;
+		if (!accepted(prepared, flow->id)) {
+			resume(transfer, now, flow);
+			continue;
+		}
+		plug_flowtable_set_state(
+		    transfer->flows, flow, PLUG_FLOW_COMMITTING, now);
+		batch->flows[kept++] = flow->id;
+	}
+	batch->count = kept;
+	if (kept == 0) {
+		send_abort(transfer, from, batch->id);
+		batch->id = 0;
+		return;
+	}
+	batch->committed = true;
+	batch->started = now;
+	batch->sent = now;
+	send_commit(transfer, batch);
+}
+
+static void
+send_completion(const struct plug_transfer *transfer,
+    const struct plug_flow *flow, const struct plug_request *request)
+{
+	Plug__Message message = PLUG__MESSAGE__INIT;
+	Plug__Completion completion = PLUG__COMPLETION__INIT;
+
+	completion.flow = flow->id;
+	if (request != NULL) {
+		completion.xid = request->xid;
+		completion.outcome = plug_request_outcome(request);
+		completion.idempotent = request->idempotent;
+	}
+	if (request != NULL && request->state == PLUG_REQUEST_DONE) {
+		completion.answer.data = request->data;
+		completion.answer.len = request->len;
+	}
+	message.body_case = PLUG__MESSAGE__BODY_COMPLETION;
+	message.completion = &completion;
+	plug_transfer_send(transfer, flow->peer, &message);
+}
+
+/**
+ * plug_transfer_ended() - a request of a flow that leaves or has left ended
+ * @transfer: transfer
+ * @flow: flow in any state
+ * @request: request in a final state
+ *
+ * Until COMMIT is confirmed the outcome is only marked as owed.
+ */
+void
+plug_transfer_ended(struct plug_transfer *transfer,
+    const struct plug_flow *flow, const struct plug_request *request)
+{
+	struct plug_request *own = plug_flow_find(flow, request->xid);
+
+	if (own == NULL)
+		return;
+	switch (flow->state) {
+	case PLUG_FLOW_FROZEN:
+	case PLUG_FLOW_COMMITTING:
+		own->is_owed = true;
+		return;
+	case PLUG_FLOW_MOVED:
+		send_completion(transfer, flow, request);
+		return;
+	case PLUG_FLOW_OPEN:
+	case PLUG_FLOW_CLOSED:
+		return;
+	}
+}
+
+/**
+ * plug_transfer_renewed() - the caller of a flow taken over uses its new token
+ * @transfer: transfer
+ * @flow: flow
+ *
+ * Tells the previous owner, which may stop when it forwards for nobody.
+ */
+void
+plug_transfer_renewed(
+    struct plug_transfer *transfer, const struct plug_flow *flow)
+{
+	send_completion(transfer, flow, NULL);
+}
+
+static void
+moved(struct plug_transfer *transfer, plug_time now, struct plug_flow *flow)
+{
+	flow->token_used = false;
+	plug_flowtable_set_state(transfer->flows, flow, PLUG_FLOW_MOVED, now);
+	for (unsigned int i = 0; i < PLUG_FLOW_WINDOW; i++) {
+		const struct plug_request *request = flow->window[i];
+
+		if (request != NULL && request->is_owed &&
+		    plug_request_final(request))
+			send_completion(transfer, flow, request);
+	}
+	plug_transfer_notify(transfer, now, PLUG_TRANSFER_MOVED, flow, NULL);
+}
+
+static void
+end_batch(struct plug_transfer *transfer, plug_time now,
+    struct plug_batch_out *batch, bool taken)
+{
+	for (unsigned int i = 0; i < batch->count; i++) {
+		struct plug_flow *flow = batch_flow(transfer, batch, i);
+
+		if (flow == NULL || flow->state != PLUG_FLOW_COMMITTING)
+			continue;
+		if (taken)
+			moved(transfer, now, flow);
+		else
+			plug_transfer_notify(
+			    transfer, now, PLUG_TRANSFER_LOST, flow, NULL);
+	}
+	batch->id = 0;
+}
+
+/**
+ * plug_transfer_committed_by() - a target has answered COMMIT
+ * @transfer: transfer
+ * @now: time
+ * @from: address of the target
+ * @committed: message
+ */
+void
+plug_transfer_committed_by(struct plug_transfer *transfer, plug_time now,
+    struct plug_endpoint from, const Plug__Committed *committed)
+{
+	struct plug_batch_out *batch =
+	    find_out(transfer, committed->batch, from);
+
+	if (batch != NULL && batch->committed)
+		end_batch(transfer, now, batch, committed->known);
+}
+
+/**
+ * plug_transfer_source_tick() - repeat messages and give up batches
+ * @transfer: transfer
+ * @now: time
+ * @listed: whether the instance list shows an address
+ * @data: first argument of @listed
+ */
+void
+plug_transfer_source_tick(struct plug_transfer *transfer, plug_time now,
+    bool (*listed)(const void *data, struct plug_endpoint endpoint),
+    const void *data)
+{
+	for (unsigned int i = 0; i < PLUG_BATCHES_OUT; i++) {
+		struct plug_batch_out *batch = &transfer->out[i];
+
+		if (batch->id == 0)
+			continue;
+		if (!batch->committed) {
+			if (now - batch->started >= PREPARE_TIMEOUT ||
+			    !listed(data, batch->target))
+				abort_batch(transfer, now, batch);
+		} else if (!listed(data, batch->target)) {
+			end_batch(transfer, now, batch, false);
+		} else if (now - batch->sent >= COMMIT_INTERVAL) {
+			batch->sent = now;
+			send_commit(transfer, batch);
+		}
+	}
+}
--- a/tests/unit/test_transfer.c
+++ b/tests/unit/test_transfer.c
@@ -257,12 +257,18 @@
  * remembers: a late duplicate would run at the target. */
 START_TEST(refusal_while_frozen_reaches_the_target)
 {
+	struct plug_call heartbeat;
+
 	open_flows(1);
 	fleet->hold = 1U << PLUG__MESSAGE__BODY_PREPARED;
 	stop(0);
 	fleet_run(fleet, 50);
 	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_NOT_RUN);
+	/* Settled at the source, it must still reach the target. */
+	heartbeat = fleet_make_call(tokens[0], 9, PLUG_PROCEDURE_NULL);
+	heartbeat.floor = 2;
+	(void)fleet_send(fleet, 0, &heartbeat);
 	fleet->drop = 1U << PLUG__MESSAGE__BODY_COMMIT;
 	fleet_release(fleet);
 	fleet->drop = 0;
