Answer for flows whose new owner is out of service, keep fetched answers

An agent in a domain that was taken out ignored COMMIT, so the source repeated it forever and passed packets into that domain. A block at an offset never starts a request again after the stored answer was dropped.

--- a/libplantainlug/agent.c
+++ b/libplantainlug/agent.c
@@ -245,6 +245,11 @@
 {
 	bool was_leaving = plug_agent_leaving(agent);
 
+	/* An agent that left for another reason reports its end once more. */
+	if (!agent->leaving.stop) {
+		agent->leaving.since = now;
+		agent->leaving.stopped = false;
+	}
 	agent->leaving.stop = true;
 	plug_agent_leave_changed(agent, now, was_leaving);
 }
--- a/libplantainlug/agent_flow.c
+++ b/libplantainlug/agent_flow.c
@@ -242,6 +242,33 @@
 		    agent, flow->peer, data, len, call->ttl, MISS_HOPS);
 }
 
+/*
+ * Passes a packet to the new owner of its flow. When that one has gone, it may
+ * have handed the flow on, so the candidates are asked once; a packet that
+ * comes back from them has few hops left.
+ */
+static void
+pass_on(struct plug_agent *agent, plug_time now, const struct plug_flow *flow,
+    const struct plug_call *call, uint8_t *data, size_t len)
+{
+	const struct plug_document *document = &agent->service->document;
+	const struct plug_member *ranked[PLUG_RANK_DEPTH];
+	const struct plug_member *peer =
+	    plug_service_member(agent->service, flow->peer);
+
+	if (peer != NULL && !plug_document_domain_out(document, peer->domain)) {
+		(void)forward(
+		    agent, flow->peer, data, len, call->ttl, MISS_HOPS);
+		return;
+	}
+	if (call->ttl > MISS_HOPS && plug_rank_members(agent->service, flow->id,
+					 agent->config.endpoint, ranked) > 0)
+		(void)forward(agent, ranked[0]->endpoint, data, len, call->ttl,
+		    MISS_HOPS);
+	else
+		lost(agent, now, call, "new_owner_gone", flow->id);
+}
+
 /*
  * A flow that was handed away: the outcome of what ran here is final at any
  * owner and is repeated to both. Everything else is the new owner's.
@@ -268,7 +295,7 @@
 			return;
 		}
 	}
-	(void)forward(agent, flow->peer, data, len, call->ttl, MISS_HOPS);
+	pass_on(agent, now, flow, call, data, len);
 }
 
 /* A prepared flow may run only after COMMIT. While its source may live, the
--- a/libplantainlug/agent_move.c
+++ b/libplantainlug/agent_move.c
@@ -127,11 +127,8 @@
 		    &agent->placement, now, sender, message->report);
 		return;
 	}
-	/* An agent out of service owns nothing and takes nothing. */
-	if (agent->service == NULL || agent->domain_out) {
-		if (message->body_case != PLUG__MESSAGE__BODY_PREPARE)
-			return;
-	}
+	/* Out of service, nothing is prepared, so every COMMIT is answered
+	 * with known = false and the source stops repeating it. */
 	plug_transfer_handle(&agent->transfer, now, message,
 	    agent->service != NULL && !agent->domain_out &&
 		!plug_agent_leaving(agent) &&
--- a/libplantainlug/agent_request.c
+++ b/libplantainlug/agent_request.c
@@ -208,8 +208,8 @@
 		return;
 	}
 	prepare(now, request, operation, call);
-	/* Blocks of an answer are fetched from a request that has run. */
-	if (call->offset > 0 && !operation->idempotent) {
+	/* A later block belongs to an answer that isn't here any more. */
+	if (call->offset > 0) {
 		plug_agent_finish(agent, now, request, PLUG_REQUEST_UNKNOWN);
 		return;
 	}
@@ -248,7 +248,13 @@
 		await_previous_owner(agent, now, request);
 		return;
 	case PLUG_REQUEST_DONE:
-		/* The stored answer was dropped; the request may run again. */
+		/* The stored answer was dropped. From the start it may run
+		 * again; blocks of two runs must not be mixed. */
+		if (!request->is_stored && call->offset > 0) {
+			plug_agent_reply(
+			    agent, now, call, flow, PLUG_OUTCOME_UNKNOWN, 0);
+			return;
+		}
 		if (request->idempotent && !request->is_stored &&
 		    operation != NULL) {
 			plug_request_reopen(request);
@@ -263,6 +269,8 @@
 	}
 	if (call->offset == 0)
 		agent->counters[PLUG_COUNT_DUPLICATES]++;
+	else
+		plug_answers_touch(&agent->flows.answers, request, now);
 	plug_agent_reply_block(agent, now, flow, request, call->offset);
 }
 
--- a/libplantainlug/flow.c
+++ b/libplantainlug/flow.c
@@ -297,6 +297,23 @@
 	request->flow->active++;
 }
 
+/**
+ * plug_answers_touch() - keep an answer whose blocks are being fetched
+ * @answers: store
+ * @request: request with its final answer
+ * @now: time
+ */
+void
+plug_answers_touch(
+    struct plug_answers *answers, struct plug_request *request, plug_time now)
+{
+	if (!request->is_stored || !request->idempotent)
+		return;
+	TAILQ_REMOVE(&answers->idempotent, request, stored);
+	TAILQ_INSERT_TAIL(&answers->idempotent, request, stored);
+	request->ended = now;
+}
+
 /**
  * plug_answers_expire() - drop idempotent answers that are old or too many
  * @answers: store
--- a/libplantainlug/flow.h
+++ b/libplantainlug/flow.h
@@ -165,6 +165,8 @@
 void plug_request_reopen(struct plug_request *request);
 void
 plug_request_free(struct plug_request *request, struct plug_answers *answers);
+void plug_answers_touch(
+    struct plug_answers *answers, struct plug_request *request, plug_time now);
 void plug_answers_expire(struct plug_answers *answers, plug_time now);
 
 #endif
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -331,6 +331,15 @@
 	call.offset = 5000;
 	ck_assert_uint_eq(fleet_send(fleet, 0, &call)->body.len, 0);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
+	/* The answer stays while it is fetched, then it is dropped. */
+	call.offset = 1200;
+	fleet_run(fleet, 20000);
+	ck_assert_uint_eq(fleet_send(fleet, 0, &call)->body.len, 1200);
+	fleet_run(fleet, 20000);
+	ck_assert_uint_eq(fleet_send(fleet, 0, &call)->body.len, 1200);
+	fleet_run(fleet, 30000);
+	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_UNKNOWN);
+	ck_assert_uint_eq(fleet_started(fleet), 1);
 	/* Without a record nothing non-idempotent starts from the middle. */
 	call = fleet_make_call(token, 2, SHORT_WRITE);
 	call.offset = 1200;
--- a/tests/unit/test_transfer.c
+++ b/tests/unit/test_transfer.c
@@ -367,6 +367,41 @@
 }
 END_TEST
 
+static void
+take_domain_out(struct plug_service *service, void *data)
+{
+	service->document.domain_out_count = 1;
+	service->document.domains_out[0] = *(uint32_t *)data;
+}
+
+/* Guards against packets that are passed on into a domain that was taken out,
+ * and against a COMMIT that is repeated there forever. */
+START_TEST(target_domain_taken_out)
+{
+	uint32_t domain = 101; /* of agent 1 */
+	uint64_t packets;
+
+	fleet_destroy(fleet);
+	fleet = fleet_create(2);
+	open_flows(1);
+	/* With i 0, COMMIT arrives only after the domain was taken out. */
+	fleet->drop = _i == 0 ? 1U << PLUG__MESSAGE__BODY_COMMIT : 0;
+	stop(0);
+	fleet_run(fleet, 100);
+	fleet->drop = 0;
+	fleet_set_view(fleet, take_domain_out, &domain);
+	fleet_run(fleet, 600);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(1), PLUG_COUNT_MOVED_IN), _i);
+	packets = plug_agent_counter(agent(1), PLUG_COUNT_PACKETS);
+	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	    PLUG_OUTCOME_FLOW_LOST);
+	ck_assert_uint_eq(
+	    plug_agent_counter(agent(1), PLUG_COUNT_PACKETS), packets);
+	ck_assert_uint_eq(fleet_started(fleet), 0);
+}
+END_TEST
+
 /* Guards against a large answer that is lost or breaks the frame limit when
  * its flow moves. */
 START_TEST(large_answer_follows_the_commit)
@@ -443,6 +478,12 @@
 	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
 	ck_assert_uint_eq(fleet_running(fleet, 0), 0);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
+	/* Stopped after it had left already, it still reports its end. */
+	fleet_run(fleet, 20000);
+	fleet->agents[0].stopped = false;
+	stop(0);
+	fleet_run(fleet, 100);
+	ck_assert(fleet->agents[0].stopped);
 }
 END_TEST
 
@@ -518,6 +559,7 @@
 	tcase_add_test(test, lost_completion);
 	tcase_add_test(test, source_dies_while_a_request_runs);
 	tcase_add_test(test, target_dies_after_commit);
+	tcase_add_loop_test(test, target_domain_taken_out, 0, 2);
 	tcase_add_test(test, large_answer_follows_the_commit);
 	tcase_add_test(test, leaving_alone);
 	tcase_add_test(test, draining_upstream_gets_no_new_work);
