--- a/tests/unit/fleet.c
+++ b/tests/unit/fleet.c
@@ -33,6 +33,16 @@
 		len, data };
 }
 
+static uint64_t
+first_bytes(struct plug_str body)
+{
+	uint64_t id = 0;
+
+	if (body.len >= sizeof(id))
+		memcpy(&id, body.data, sizeof(id));
+	return id;
+}
+
 static void
 take_datagram(struct fleet *fleet, const struct plug_action *action)
 {
@@ -49,6 +59,8 @@
 	ck_assert_int_eq(plug_packet_decode_reply(action->datagram.data,
 			     action->datagram.len, &reply, NULL),
 	    PLUG_OK);
+	fleet->bodies[fleet->reply_count % FLEET_REPLIES] =
+	    first_bytes(reply.body);
 	fleet->replies[fleet->reply_count++ % FLEET_REPLIES] = reply;
 }
 
@@ -83,9 +95,15 @@
 		return;
 	case PLUG_ACTION_UPSTREAM_CALL:
 		ck_assert_uint_lt(self->call_count, FLEET_CALLS);
-		self->calls[self->call_count++] =
-		    (struct fleet_call){ action->upstream.id,
-			    action->upstream.procedure, true, false };
+		if (fleet->started != NULL && action->upstream.procedure != 0)
+			fleet->started(fleet->started_data,
+			    first_bytes(action->upstream.body));
+		self->calls[self->call_count++] = (struct fleet_call){
+			.id = action->upstream.id,
+			.procedure = action->upstream.procedure,
+			.open = true,
+			.body = first_bytes(action->upstream.body),
+		};
 		return;
 	case PLUG_ACTION_UPSTREAM_CANCEL:
 		for (unsigned int i = 0; i < self->call_count; i++) {
--- a/tests/unit/fleet.h
+++ b/tests/unit/fleet.h
@@ -19,6 +19,7 @@
 	uint64_t id;
 	uint32_t procedure;
 	bool open;
+	uint64_t body; /* first bytes of the arguments */
 	bool cancelled;
 };
 
@@ -56,6 +57,9 @@
 	struct fleet_message held;
 	unsigned int reply_count;
 	struct plug_reply replies[FLEET_REPLIES];
+	uint64_t bodies[FLEET_REPLIES]; /* first bytes of each answer */
+	void (*started)(void *data, uint64_t body);
+	void *started_data;
 	unsigned int peers[16]; /* messages by body case */
 };
 
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -9,5 +9,6 @@
 Suite *limiter_suite(void);
 Suite *agent_suite(void);
 Suite *transfer_suite(void);
+Suite *faults_suite(void);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_faults.c
@@ -0,0 +1,282 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "libplantainlug/flow.h"
+#include "libplantainlug/rank.h"
+#include "suites.h"
+
+/* Callers that send writes through agents that fail at random. What each
+ * caller is told is compared with what ran. */
+
+#define CALLERS	 12
+#define REQUESTS 4096 /* of all callers */
+#define STEPS	 4000
+#define SEEDS	 24
+
+struct request {
+	unsigned int starts;
+	bool answered;
+	enum plug_outcome outcome;
+};
+
+struct fault_caller {
+	bool has_token;
+	uint8_t token[PLUG_TOKEN_SIZE];
+	uint32_t xid;
+	uint32_t attempt;
+	uint64_t request;   /* index into requests, 0 when idle */
+	unsigned int epoch; /* a new flow uses a new source port */
+};
+
+static struct fleet *fleet;
+static struct request requests[REQUESTS];
+static struct fault_caller callers[CALLERS];
+static uint64_t request_count;
+static unsigned short seed[3];
+static unsigned int read_replies;
+static unsigned int outcomes[4];
+static uint64_t last_instance;
+
+static unsigned int
+draw(unsigned int below)
+{
+	return (unsigned int)(nrand48(seed) % below);
+}
+
+static void
+count_start(void *data, uint64_t body)
+{
+	(void)data;
+	ck_assert_uint_lt(body, REQUESTS);
+	ck_assert_msg(++requests[body].starts == 1, "request %llu ran twice",
+	    (unsigned long long)body);
+	ck_assert_msg(!requests[body].answered ||
+			  requests[body].outcome != PLUG_OUTCOME_NOT_RUN,
+	    "request %llu ran after it was refused", (unsigned long long)body);
+}
+
+static void
+check_answer(uint64_t id, const struct plug_reply *reply, uint64_t body)
+{
+	struct request *request = &requests[id];
+
+	switch (reply->outcome) {
+	case PLUG_OUTCOME_DONE:
+		ck_assert_uint_eq(body, id);
+		ck_assert_uint_eq(request->starts, 1);
+		break;
+	case PLUG_OUTCOME_NOT_RUN:
+		ck_assert_msg(!request->answered ||
+				  request->outcome == PLUG_OUTCOME_NOT_RUN,
+		    "refused after another answer");
+		break;
+	case PLUG_OUTCOME_UNKNOWN:
+	case PLUG_OUTCOME_FLOW_LOST:
+		break;
+	}
+	request->answered = true;
+	request->outcome = reply->outcome;
+	outcomes[reply->outcome]++;
+}
+
+static void
+take_reply(const struct plug_reply *reply, uint64_t body)
+{
+	struct fault_caller *caller = &callers[reply->caller.port % CALLERS];
+	bool known = caller->has_token;
+
+	if (reply->caller.port / CALLERS != caller->epoch)
+		return;
+	if (reply->has_token &&
+	    (known || reply->outcome == PLUG_OUTCOME_DONE)) {
+		caller->has_token = true;
+		memcpy(caller->token, reply->token, PLUG_TOKEN_SIZE);
+	}
+	if (!known || caller->request == 0 || reply->xid != caller->xid)
+		return;
+	check_answer(caller->request, reply, body);
+	caller->request = 0;
+	if (reply->outcome == PLUG_OUTCOME_FLOW_LOST) {
+		caller->has_token = false;
+		caller->epoch++;
+	}
+}
+
+static void
+read_all_replies(void)
+{
+	for (; read_replies < fleet->reply_count; read_replies++)
+		take_reply(&fleet->replies[read_replies % FLEET_REPLIES],
+		    fleet->bodies[read_replies % FLEET_REPLIES]);
+}
+
+/* Where an entry would send the packet. */
+static unsigned int
+route(const struct fault_caller *caller)
+{
+	const struct plug_service *service = &fleet->view->services[0];
+	const struct plug_member *ranked[PLUG_RANK_DEPTH];
+	struct plug_token token;
+	uint16_t base = fleet->agents[0].config.endpoint.port;
+
+	if (!caller->has_token)
+		return draw(fleet->count);
+	ck_assert_int_eq(plug_token_open(caller->token,
+			     &service->document.token_keys, &token),
+	    PLUG_OK);
+	if (caller->attempt >= 2 && caller->attempt % 2 == 0 &&
+	    plug_rank_members(service, token.flow, token.agent, ranked) > 0)
+		return ranked[0]->endpoint.port - base;
+	return token.agent.port - base;
+}
+
+static void
+send_something(unsigned int at)
+{
+	struct fault_caller *caller = &callers[at];
+	struct plug_call call;
+	uint64_t id;
+
+	if (!caller->has_token) {
+		caller->xid = 0;
+		caller->request = 0;
+		call = fleet_make_call(NULL, 1, PLUG_PROCEDURE_NULL);
+	} else {
+		if (caller->request == 0) {
+			ck_assert_uint_lt(request_count + 1, REQUESTS);
+			caller->request = ++request_count;
+			caller->xid++;
+			caller->attempt = 0;
+		}
+		call = fleet_make_call(caller->token, caller->xid, SHORT_WRITE);
+		call.floor = draw(4) == 0 ? caller->xid : 1;
+		if (caller->xid > PLUG_FLOW_WINDOW / 2)
+			call.floor = caller->xid;
+		call.attempt = caller->attempt++;
+	}
+	call.caller.port = (uint16_t)(at + CALLERS * caller->epoch);
+	id = caller->request;
+	call.body = (struct plug_str){ (const char *)&id, sizeof(id) };
+	/* Any packet may be duplicated. */
+	for (unsigned int n = draw(4) == 0 ? 2 : 1; n > 0; n--)
+		(void)fleet_send(fleet, route(caller), &call);
+	read_all_replies();
+}
+
+static void
+answer_something(unsigned int at)
+{
+	static const enum plug_upstream_result results[] = { PLUG_UPSTREAM_DONE,
+		PLUG_UPSTREAM_DONE, PLUG_UPSTREAM_DONE, PLUG_UPSTREAM_DONE,
+		PLUG_UPSTREAM_FAILED };
+	struct fleet_agent *self = &fleet->agents[at];
+	uint64_t body;
+
+	if (self->call_count == 0)
+		return;
+	for (unsigned int i = 0; i < self->call_count; i++) {
+		if (!self->calls[i].open || self->calls[i].procedure == 0 ||
+		    draw(3) == 0)
+			continue;
+		body = self->calls[i].body;
+		(void)fleet_answer(fleet, at, i, results[draw(5)],
+		    (struct plug_str){ (const char *)&body, sizeof(body) });
+		break;
+	}
+	while (self->call_count > 0 && !self->calls[self->call_count - 1].open)
+		self->call_count--;
+	read_all_replies();
+}
+
+static void
+reconnect(unsigned int at)
+{
+	const struct plug_agent_event closed = {
+		.kind = PLUG_AGENT_UPSTREAM_CLOSED,
+	};
+	const struct plug_agent_event opened = {
+		.kind = PLUG_AGENT_UPSTREAM_OPEN,
+	};
+
+	fleet_event(fleet, at, &closed);
+	fleet->agents[at].call_count = 0;
+	fleet_event(fleet, at, &opened);
+	read_all_replies();
+}
+
+static void
+fail_something(void)
+{
+	const struct plug_agent_event stop = { .kind = PLUG_AGENT_STOP };
+	unsigned int at = draw(fleet->count);
+
+	switch (draw(40)) {
+	case 0:
+		reconnect(at);
+		return;
+	case 1:
+		fleet_event(fleet, at, &stop);
+		return;
+	case 2:
+		if (draw(4) == 0)
+			fleet_restart(fleet, at, ++last_instance);
+		return;
+	case 3:
+	case 4:
+		fleet->drop = (uint32_t)draw(1 << 14);
+		return;
+	case 5:
+	case 6:
+	case 7:
+		fleet->drop = 0;
+		return;
+	default:
+		return;
+	}
+}
+
+/* Guards against any order of failures in which a request runs twice, runs
+ * after "not run", or is answered with the answer of another one. */
+START_TEST(random_faults)
+{
+	memset(requests, 0, sizeof(requests));
+	memset(callers, 0, sizeof(callers));
+	memset(outcomes, 0, sizeof(outcomes));
+	request_count = 0;
+	read_replies = 0;
+	last_instance = 1000;
+	seed[0] = (unsigned short)_i;
+	seed[1] = 7;
+	seed[2] = 11;
+	fleet = fleet_create(4);
+	fleet->started = count_start;
+	for (unsigned int step = 0; step < STEPS; step++) {
+		send_something(draw(CALLERS));
+		answer_something(draw(fleet->count));
+		fail_something();
+		fleet_run(fleet, 10 * draw(8));
+		read_all_replies();
+		for (unsigned int i = 0; i < fleet->count; i++) {
+			if (fleet->agents[i].stopped)
+				fleet_restart(fleet, i, ++last_instance);
+		}
+	}
+	ck_assert_uint_gt(outcomes[PLUG_OUTCOME_DONE], 100);
+	ck_assert_uint_gt(outcomes[PLUG_OUTCOME_NOT_RUN], 0);
+	fleet_destroy(fleet);
+}
+END_TEST
+
+Suite *
+faults_suite(void)
+{
+	Suite *suite = suite_create("faults");
+	TCase *test = tcase_create("faults");
+
+	tcase_set_timeout(test, 60);
+	tcase_add_loop_test(test, random_faults, 0, SEEDS);
+	suite_add_tcase(suite, test);
+	return suite;
+}
