--- a/libplantainlug/agent_request.c
+++ b/libplantainlug/agent_request.c
@@ -56,6 +56,23 @@
 	}
 }
 
+/**
+ * plug_agent_raise_floor() - take note of the floor that a call states
+ * @agent: agent
+ * @flow: flow
+ * @floor: the caller's floor
+ *
+ * The floor of a frozen flow stays, since its target has been told the old one
+ * and must learn of every xid above it that was refused meanwhile.
+ */
+void
+plug_agent_raise_floor(
+    struct plug_agent *agent, struct plug_flow *flow, uint32_t floor)
+{
+	if (flow->state == PLUG_FLOW_OPEN)
+		plug_agent_settle(agent, flow, floor);
+}
+
 /**
  * plug_agent_refuse_queued() - give up the requests of a flow that wait
  * @agent: agent
@@ -191,8 +208,8 @@
 		return;
 	}
 	prepare(now, request, operation, call);
-	/* Blocks of an answer are fetched from a request that has run. */
-	if (call->offset > 0 && !operation->idempotent) {
+	/* A later block belongs to an answer that isn't here any more. */
+	if (call->offset > 0) {
 		plug_agent_finish(agent, now, request, PLUG_REQUEST_UNKNOWN);
 		return;
 	}
@@ -231,7 +248,13 @@
 		await_previous_owner(agent, now, request);
 		return;
 	case PLUG_REQUEST_DONE:
-		/* The stored answer was dropped; the request may run again. */
+		/* The stored answer was dropped. From the start it may run
+		 * again; blocks of two runs must not be mixed. */
+		if (!request->is_stored && call->offset > 0) {
+			plug_agent_reply(
+			    agent, now, call, flow, PLUG_OUTCOME_UNKNOWN, 0);
+			return;
+		}
 		if (request->idempotent && !request->is_stored &&
 		    operation != NULL) {
 			plug_request_reopen(request);
@@ -246,6 +269,8 @@
 	}
 	if (call->offset == 0)
 		agent->counters[PLUG_COUNT_DUPLICATES]++;
+	else
+		plug_answers_touch(&agent->flows.answers, request, now);
 	plug_agent_reply_block(agent, now, flow, request, call->offset);
 }
 
@@ -269,7 +294,7 @@
 	    plug_document_operation(&agent->service->document, call->procedure);
 	struct plug_request *request;
 
-	plug_agent_settle(agent, flow, call->floor);
+	plug_agent_raise_floor(agent, flow, call->floor);
 	switch (plug_flow_check(flow, call->xid)) {
 	case PLUG_OK:
 		break;
