--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -12,6 +12,7 @@
 	srunner_add_suite(runner, document_suite());
 	srunner_add_suite(runner, keystore_suite());
 	srunner_add_suite(runner, node_suite());
+	srunner_add_suite(runner, platform_suite());
 	srunner_add_suite(runner, settings_suite());
 	srunner_add_suite(runner, token_suite());
 	srunner_run_all(runner, CK_ENV);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -7,6 +7,7 @@
 Suite *keystore_suite(void);
 Suite *node_suite(void);
 Suite *packet_suite(void);
+Suite *platform_suite(void);
 Suite *settings_suite(void);
 Suite *token_suite(void);
 
