--- a/net/file.c
+++ b/net/file.c
@@ -5,6 +5,20 @@
 
 #include "file.h"
 
+static enum plug_code
+read_stream(
+    FILE *file, size_t max, char *buf, size_t *len, struct plug_status *status)
+{
+	*len = fread(buf, 1, max + 1, file);
+	if (ferror(file))
+		return plug_status_set(
+		    status, PLUG_E_IO, "can't read: %s", strerror(errno));
+	if (*len > max)
+		return plug_status_set(status, PLUG_E_OVERSIZE,
+		    "at most %zu bytes are accepted", max);
+	return PLUG_OK;
+}
+
 /**
  * plug_file_read() - read a whole file
  * @path: path
@@ -20,32 +34,25 @@
     struct plug_status *status)
 {
 	FILE *file = fopen(path, "re");
-	char *buf = malloc(max + 2);
-	enum plug_code code = PLUG_OK;
-	size_t n = 0;
+	enum plug_code code;
+	char *buf;
 
 	if (file == NULL)
-		code = plug_status_set(
+		return plug_status_set(
 		    status, PLUG_E_IO, "can't open: %s", strerror(errno));
-	else if (buf == NULL)
-		code = plug_status_set(status, PLUG_E_MEMORY, "out of memory");
-	else
-		n = fread(buf, 1, max + 1, file);
-	if (code == PLUG_OK && ferror(file))
-		code = plug_status_set(
-		    status, PLUG_E_IO, "can't read: %s", strerror(errno));
-	if (code == PLUG_OK && n > max)
-		code = plug_status_set(status, PLUG_E_OVERSIZE,
-		    "at most %zu bytes are accepted", max);
-	if (file != NULL)
+	buf = malloc(max + 2);
+	if (buf == NULL) {
 		(void)fclose(file);
+		return plug_status_set(status, PLUG_E_MEMORY, "out of memory");
+	}
+	code = read_stream(file, max, buf, len, status);
+	(void)fclose(file);
 	if (code != PLUG_OK) {
 		free(buf);
 		return code;
 	}
-	buf[n] = '\0';
-	*len = n;
-	*data = realloc(buf, n + 1);
+	buf[*len] = '\0';
+	*data = realloc(buf, *len + 1);
 	if (*data == NULL)
 		*data = buf;
 	return PLUG_OK;
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -10,6 +10,7 @@
 Suite *net_suite(void);
 Suite *packet_suite(void);
 Suite *router_suite(void);
+Suite *platform_suite(void);
 Suite *settings_suite(void);
 Suite *token_suite(void);
 Suite *flow_suite(void);
