--- a/libplantainlug/packet.c
+++ b/libplantainlug/packet.c
@@ -416,17 +416,9 @@
 	return a.address == b.address && a.port == b.port;
 }
 
-/**
- * plug_endpoint_parse() - parse "ip:port"
- * @text: text, IPv4 address in dotted form and a port from 1 to 65535
- * @endpoint: result
- * @status: filled on an error, may be NULL
- *
- * Return: PLUG_OK or PLUG_E_SYNTAX.
- */
-enum plug_code
-plug_endpoint_parse(struct plug_str text, struct plug_endpoint *endpoint,
-    struct plug_status *status)
+static enum plug_code
+parse_endpoint(struct plug_str text, unsigned long port_min,
+    struct plug_endpoint *endpoint, struct plug_status *status)
 {
 	char buf[INET_ADDRSTRLEN + sizeof(":65535")];
 	struct in_addr in;
@@ -444,7 +436,7 @@
 	*colon = '\0';
 	port = strtoul(colon + 1, &end, 10);
 	if (inet_pton(AF_INET, buf, &in) != 1 || *end != '\0' ||
-	    end == colon + 1 || port == 0 || port > UINT16_MAX)
+	    end == colon + 1 || port < port_min || port > UINT16_MAX)
 		return plug_status_set(status, PLUG_E_SYNTAX,
 		    "\"%.*s\" is not ip:port", (int)text.len, text.data);
 	endpoint->address = ntohl(in.s_addr);
@@ -452,6 +444,36 @@
 	return PLUG_OK;
 }
 
+/**
+ * plug_endpoint_parse() - parse "ip:port"
+ * @text: text, IPv4 address in dotted form and a port from 1 to 65535
+ * @endpoint: result
+ * @status: filled on an error, may be NULL
+ *
+ * Return: PLUG_OK or PLUG_E_SYNTAX.
+ */
+enum plug_code
+plug_endpoint_parse(struct plug_str text, struct plug_endpoint *endpoint,
+    struct plug_status *status)
+{
+	return parse_endpoint(text, 1, endpoint, status);
+}
+
+/**
+ * plug_endpoint_parse_listen() - parse "ip:port" of a socket to listen on
+ * @text: text; port 0 stands for an ephemeral port
+ * @endpoint: result
+ * @status: reason of a failure, or NULL
+ *
+ * Return: PLUG_OK, or PLUG_E_SYNTAX.
+ */
+enum plug_code
+plug_endpoint_parse_listen(struct plug_str text, struct plug_endpoint *endpoint,
+    struct plug_status *status)
+{
+	return parse_endpoint(text, 0, endpoint, status);
+}
+
 /**
  * plug_endpoint_format() - write "ip:port"
  * @endpoint: endpoint
--- a/libplantainlug/packet.h
+++ b/libplantainlug/packet.h
@@ -110,6 +110,8 @@
 bool plug_endpoint_equal(struct plug_endpoint a, struct plug_endpoint b);
 enum plug_code plug_endpoint_parse(struct plug_str text,
     struct plug_endpoint *endpoint, struct plug_status *status);
+enum plug_code plug_endpoint_parse_listen(struct plug_str text,
+    struct plug_endpoint *endpoint, struct plug_status *status);
 size_t
 plug_endpoint_format(struct plug_endpoint endpoint, char *buf, size_t size);
 
--- a/libplantainlug/settings.c
+++ b/libplantainlug/settings.c
@@ -26,6 +26,22 @@
 	    sizeof(settings->seeds[0]), &settings->seed_count);
 }
 
+static enum plug_code
+read_listen(struct plug_json *json, struct json_object *value, void *target)
+{
+	struct plug_settings *settings = target;
+	const char *text = json_object_get_string(value);
+
+	if (!json_object_is_type(value, json_type_string))
+		return plug_json_fail(
+		    json, PLUG_E_TYPE, "needs an \"ip:port\" string");
+	if (plug_endpoint_parse_listen(
+		plug_str_from(text), &settings->listen, NULL) != PLUG_OK)
+		return plug_json_fail(json, PLUG_E_RANGE,
+		    "\"%.64s\" is no \"ip:port\" address", text);
+	return PLUG_OK;
+}
+
 static enum plug_code
 read_log(struct plug_json *json, struct json_object *value, void *target)
 {
@@ -107,8 +123,8 @@
 		    .kind = PLUG_JSON_NAME,
 		    .offset = offsetof(struct plug_settings, domain) },
 		{ .name = "listen",
-		    .kind = PLUG_JSON_ENDPOINT,
-		    .offset = offsetof(struct plug_settings, listen) },
+		    .kind = PLUG_JSON_CUSTOM,
+		    .read = read_listen },
 		{ .name = "config_service",
 		    .kind = PLUG_JSON_CUSTOM,
 		    .optional = true,
--- a/net/peer.c
+++ b/net/peer.c
@@ -19,9 +19,11 @@
 #define LISTEN_BACKLOG	 512   /* connections */
 #define READ_SIZE	 65536 /* bytes for each read */
 #define READS_PER_EVENT	 4     /* so that one peer can't hold others up */
-#define PROGRESS_TIMEOUT (3 * PLUG_SEC)	   /* design 4.9, peer links */
-#define RETRY_DELAY	 (500 * PLUG_MSEC) /* after a failed connect */
-#define SWEEP_INTERVAL	 (100 * PLUG_MSEC)
+#define PROGRESS_TIMEOUT (3 * PLUG_SEC) /* design 4.9, peer links */
+/* A peer that doesn't know a key yet has no answer; replacing helps little. */
+#define ANSWER_TIMEOUT_MAX (60 * PLUG_SEC)
+#define RETRY_DELAY	   (500 * PLUG_MSEC) /* after a failed connect */
+#define SWEEP_INTERVAL	   (100 * PLUG_MSEC)
 /* The connecting side closes first, so that it doesn't write into a close. */
 #define IDLE_OUTGOING	   (60 * PLUG_SEC)
 #define IDLE_INCOMING	   (90 * PLUG_SEC)
@@ -59,6 +61,8 @@
 	plug_time progress; /* last byte moved, or start of waiting */
 	plug_time used;	    /* last message in either direction */
 	plug_time asked;    /* oldest message without an answer; 0: none */
+	plug_time
+	    patience; /* doubles with each replacement without an answer */
 	plug_time retry_at;
 };
 
@@ -167,6 +171,7 @@
 	}
 	link->peers = peers;
 	link->outgoing = outgoing;
+	link->patience = PROGRESS_TIMEOUT;
 	link->progress = link->used = plug_clock_now();
 	plug_frame_reader_init(&link->reader);
 	STAILQ_INIT(&link->queue);
@@ -331,6 +336,7 @@
 		if (link->outgoing && link->target.address == sender->address &&
 		    link->target.port == sender->port) {
 			link->asked = 0;
+			link->patience = PROGRESS_TIMEOUT;
 			return;
 		}
 	}
@@ -735,8 +741,11 @@
 	if (link->doomed) {
 		destroy_link(link);
 	} else if (link->socket == NULL) {
+		/* A link that got no answer is kept for its patience. */
 		if (STAILQ_EMPTY(&link->queue)) {
-			if (now >= link->retry_at)
+			if (now >= link->retry_at &&
+			    (link->patience == PROGRESS_TIMEOUT ||
+				now - link->used > idle))
 				destroy_link(link);
 		} else if (now >= link->retry_at) {
 			connect_link(link);
@@ -752,7 +761,10 @@
 		connect_failed(link);
 	} else if (waiting && now - link->progress > PROGRESS_TIMEOUT) {
 		replace_link(link, "no_progress");
-	} else if (link->asked != 0 && now - link->asked > PROGRESS_TIMEOUT) {
+	} else if (link->asked != 0 && now - link->asked > link->patience) {
+		link->patience *= 2;
+		if (link->patience > ANSWER_TIMEOUT_MAX)
+			link->patience = ANSWER_TIMEOUT_MAX;
 		replace_link(link, "no_answer");
 	} else if (!waiting && now - link->used > idle) {
 		destroy_link(link);
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "libplantainlug/settings.h"
@@ -86,6 +87,31 @@
 }
 END_TEST
 
+/*
+ * Guards against processes that can't take an ephemeral port, and against a
+ * port 0 that names a peer.
+ */
+START_TEST(only_listen_takes_port_0)
+{
+	static const char text[] =
+	    "{\"role\": \"entry\", \"name\": \"a\", "
+	    "\"domain\": \"b\", \"listen\": \"127.0.0.1:0\", "
+	    "\"fabric\": \"127.0.0.1:1\", "
+	    "\"peers\": [\"127.0.0.1:%d\"]}";
+	struct plug_settings settings;
+	char buf[256];
+
+	(void)snprintf(buf, sizeof(buf), text, 2);
+	ck_assert_int_eq(
+	    plug_settings_parse(plug_str_from(buf), &settings, NULL), PLUG_OK);
+	ck_assert_uint_eq(settings.listen.port, 0);
+	(void)snprintf(buf, sizeof(buf), text, 0);
+	ck_assert_int_eq(
+	    plug_settings_parse(plug_str_from(buf), &settings, NULL),
+	    PLUG_E_RANGE);
+}
+END_TEST
+
 Suite *
 settings_suite(void)
 {
@@ -94,6 +120,7 @@
 
 	tcase_add_test(test, accepts_both_roles);
 	tcase_add_test(test, refuses_wrong_settings);
+	tcase_add_test(test, only_listen_takes_port_0);
 	suite_add_tcase(suite, test);
 	return suite;
 }
