--- a/cli/main.c
+++ b/cli/main.c
@@ -17,10 +17,11 @@
 	{ "standin-config", plug_standin_config_main,
 	    "serve files as the configuration service" },
 	{ "standin-fabric", plug_cli_standin_fabric,
-	    "spray callers' packets over entries" },
-	{ "standin-upstream", plug_cli_standin_upstream, "run an upstream" },
+	    "run the fabric of a test deployment" },
+	{ "standin-upstream", plug_cli_standin_upstream,
+	    "run an upstream of a test deployment" },
 	{ "standin-caller", plug_cli_standin_caller,
-	    "open flows and send a load" },
+	    "run callers of a test deployment" },
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
