--- a/libplantainlug/gossip.c
+++ b/libplantainlug/gossip.c
@@ -9,7 +9,7 @@
 #define FETCH_REPEAT	(200 * PLUG_MSEC)
 #define FETCH_PAUSE	(100 * PLUG_MSEC) /* before another announcer is asked */
 #define FETCH_KEYS	64		  /* keys in one message */
-#define FETCH_TRIES	40 /* then the announced version is given up */
+#define FETCH_TRIES	80 /* then the announced version is given up */
 #define RECENT_KEYS	32 /* newest keys in a list after a digest */
 #define WINDOW_KEYS	32 /* further keys in it, in rotation */
 
@@ -213,7 +213,8 @@
 	send_message(gossip, target, PLUG__MESSAGE__BODY_FETCH, &fetch);
 }
 
-/* Repeats fetches without an answer, half of them at another peer. */
+/* Repeats fetches without an answer, also at another peer: the announcer may
+ * be gone. */
 static void
 repeat_fetches(struct plug_gossip *gossip, plug_time now)
 {
@@ -243,10 +244,10 @@
 	peer = plug_peerset_pick(&gossip->peers, gossip->client,
 	    is_agent(gossip) ? PLUG_PEER_ANY
 			     : PLUG_PEER_ENTRY | PLUG_PEER_SEED);
-	if (peer != NULL && due[0]->fetches % 2 == 1)
+	send_fetch(gossip, now, due[0]->source, due, count);
+	if (peer != NULL &&
+	    !plug_endpoint_equal(peer->endpoint, due[0]->source))
 		send_fetch(gossip, now, peer->endpoint, due, count);
-	else
-		send_fetch(gossip, now, due[0]->source, due, count);
 }
 
 /*
