Keep open calls apart from requests in the test of random faults

With messages that lag, the late reply to a duplicated open call was taken for the answer to the first request, because the test used the same xid for both. The agent was right; agent.h now states the rule for callers.

--- a/libplantainlug/agent.c
+++ b/libplantainlug/agent.c
@@ -103,6 +103,8 @@
  * @agent: agent
  * @now: time
  * @load: result
+ *
+ * To be called by the thread that calls plug_agent_handle().
  */
 void
 plug_agent_load(
--- a/libplantainlug/agent.h
+++ b/libplantainlug/agent.h
@@ -105,7 +105,9 @@
  * - A call with an offset never starts a request. When the stored answer is
  *   gone it is answered with "unknown".
  * - A caller that opens a new flow after "flow lost" uses a new source port,
- *   so that late packets of the lost flow don't reach it.
+ *   so that late packets of the lost flow don't reach it. The xid of the open
+ *   call differs from those of requests, since a duplicated open call is
+ *   answered late and with the token of another flow.
  */
 
 struct plug_agent;
--- a/tests/unit/test_faults.c
+++ b/tests/unit/test_faults.c
@@ -13,6 +13,7 @@
 #define CALLERS	 12
 #define REQUESTS 4096 /* of all callers */
 #define STEPS	 4000
+#define OPEN_XID 0x40000000 /* differs from those of requests */
 #define SEEDS	 8
 
 struct request {
@@ -87,7 +88,9 @@
 	struct fault_caller *caller = &callers[reply->caller.port % CALLERS];
 	bool known = caller->has_token;
 
-	if (reply->caller.port / CALLERS != caller->epoch)
+	/* A duplicated open call yields a second token, which isn't used. */
+	if (reply->caller.port / CALLERS != caller->epoch ||
+	    (known && reply->xid == OPEN_XID))
 		return;
 	if (reply->has_token &&
 	    (known || reply->outcome == PLUG_OUTCOME_DONE)) {
@@ -142,7 +145,7 @@
 	if (!caller->has_token) {
 		caller->xid = 0;
 		caller->request = 0;
-		call = fleet_make_call(NULL, 1, PLUG_PROCEDURE_NULL);
+		call = fleet_make_call(NULL, OPEN_XID, PLUG_PROCEDURE_NULL);
 	} else {
 		if (caller->request == 0) {
 			ck_assert_uint_lt(request_count + 1, REQUESTS);
