--- a/cli/commands.h
+++ b/cli/commands.h
@@ -25,9 +25,5 @@
 int plug_cli_run(int argc, char **argv, enum plug_role role,
     enum plug_code (*run)(
 	const struct plug_settings *settings, struct plug_status *status));
-#include "../standins/configservice.h"
-
-/* Subcommands: argv[0] is the name, the result is the exit status. */
-int plug_cli_check(int argc, char **argv);
 
 #endif
