Let a stop without siblings end in 10 s and keep other leavers running

Cause: the demonstration's final stop needed a second signal for 9 agents, which waited 30 s for a sibling while all siblings were stopping too. An agent whose upstream drained also ended its process, although the host may come back. A completion with a 4 MB answer exceeded the frame limit of 1.5 MB.

Ruled out: ending at once when no sibling accepts, which breaks flows while a sibling restarts.

Change: 10 s for a stop alone; agentd ends only after a stop signal; frames hold a 4 MB answer.

--- a/libplantainlug/agent_move.c
+++ b/libplantainlug/agent_move.c
@@ -9,7 +9,7 @@
 #define LINGER (15 * PLUG_SEC)
 
 /* A stop without any sibling that takes the flows ends after this time. */
-#define STOP_ALONE (30 * PLUG_SEC)
+#define STOP_ALONE (10 * PLUG_SEC)
 
 #define LEAVE_RETRY	 (100 * PLUG_MSEC) /* when no sibling takes flows */
 #define REFUSED_AVOID	 PLUG_SEC /* a sibling that has refused flows */
--- a/net/agentd.c
+++ b/net/agentd.c
@@ -104,7 +104,10 @@
 		renew_fabric(agentd);
 		break;
 	case PLUG_ACTION_STOPPED:
-		atomic_store(&agentd->stopped, true);
+		/* An agent that left for another reason keeps running: the
+		 * host may come back into service. */
+		if (agentd->stop_sent)
+			atomic_store(&agentd->stopped, true);
 		break;
 	case PLUG_ACTION_WATCH:
 	case PLUG_ACTION_UNWATCH:
--- a/net/frame.h
+++ b/net/frame.h
@@ -5,8 +5,9 @@
 #include "libplantainlug/str.h"
 #include "proto/control.pb-c.h"
 
-#define PLUG_FRAME_HEADER 4			/* bytes: big-endian length */
-#define PLUG_FRAME_MAX	  ((size_t)1536 * 1024) /* bytes of one message */
+#define PLUG_FRAME_HEADER 4 /* bytes: big-endian length */
+/* Bytes of one message: a 4 MB answer in a COMPLETION and its other fields. */
+#define PLUG_FRAME_MAX ((size_t)4 * 1024 * 1024 + 65536)
 
 /**
  * struct plug_frame_reader - reassembles frames from a byte stream
