--- a/libplantainlug/packet.c
+++ b/libplantainlug/packet.c
@@ -417,26 +417,27 @@
 }
 
 static enum plug_code
-parse_endpoint(struct plug_str text, unsigned long port_min,
+parse_endpoint(struct plug_str text, unsigned long lowest_port,
     struct plug_endpoint *endpoint, struct plug_status *status)
 {
 	char buf[INET_ADDRSTRLEN + sizeof(":65535")];
+	unsigned long port = 0;
 	struct in_addr in;
-	char *colon, *end;
-	unsigned long port;
-
-	if (text.len >= sizeof(buf))
-		return plug_status_set(status, PLUG_E_SYNTAX,
-		    "\"%.*s\" is not ip:port", (int)sizeof(buf), text.data);
-	(void)plug_str_copy(text, buf, sizeof(buf));
-	colon = strchr(buf, ':');
-	if (colon == NULL)
-		return plug_status_set(
-		    status, PLUG_E_SYNTAX, "\"%s\" has no port", buf);
-	*colon = '\0';
-	port = strtoul(colon + 1, &end, 10);
-	if (inet_pton(AF_INET, buf, &in) != 1 || *end != '\0' ||
-	    end == colon + 1 || port < port_min || port > UINT16_MAX)
+	char *colon, *end = NULL;
+	bool valid = false;
+
+	if (text.len < sizeof(buf)) {
+		(void)plug_str_copy(text, buf, sizeof(buf));
+		colon = strchr(buf, ':');
+		if (colon != NULL) {
+			*colon = '\0';
+			port = strtoul(colon + 1, &end, 10);
+			valid = end != colon + 1 && *end == '\0' &&
+				port >= lowest_port && port <= UINT16_MAX &&
+				inet_pton(AF_INET, buf, &in) == 1;
+		}
+	}
+	if (!valid)
 		return plug_status_set(status, PLUG_E_SYNTAX,
 		    "\"%.*s\" is not ip:port", (int)text.len, text.data);
 	endpoint->address = ntohl(in.s_addr);
@@ -460,12 +461,12 @@
 }
 
 /**
- * plug_endpoint_parse_listen() - parse "ip:port" of a socket to listen on
- * @text: text; port 0 stands for an ephemeral port
+ * plug_endpoint_parse_listen() - parse "ip:port" of a listening socket
+ * @text: like that of plug_endpoint_parse(); port 0 asks for an ephemeral port
  * @endpoint: result
- * @status: reason of a failure, or NULL
+ * @status: filled on an error, may be NULL
  *
- * Return: PLUG_OK, or PLUG_E_SYNTAX.
+ * Return: PLUG_OK or PLUG_E_SYNTAX.
  */
 enum plug_code
 plug_endpoint_parse_listen(struct plug_str text, struct plug_endpoint *endpoint,
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -13,6 +13,7 @@
 	srunner_add_suite(runner, document_suite());
 	srunner_add_suite(runner, keystore_suite());
 	srunner_add_suite(runner, node_suite());
+	srunner_add_suite(runner, platform_suite());
 	srunner_add_suite(runner, settings_suite());
 	srunner_add_suite(runner, callerflow_suite());
 	srunner_add_suite(runner, net_suite());
@@ -21,6 +22,7 @@
 	srunner_add_suite(runner, limiter_suite());
 	srunner_add_suite(runner, agent_suite());
 	srunner_add_suite(runner, transfer_suite());
+	srunner_add_suite(runner, faults_suite());
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -10,11 +10,13 @@
 Suite *net_suite(void);
 Suite *packet_suite(void);
 Suite *router_suite(void);
+Suite *platform_suite(void);
 Suite *settings_suite(void);
 Suite *token_suite(void);
 Suite *flow_suite(void);
 Suite *limiter_suite(void);
 Suite *agent_suite(void);
 Suite *transfer_suite(void);
+Suite *faults_suite(void);
 
 #endif
