Hold an agent's ticks while its view is not confirmed

Cause: after a pause the agent drops old datagrams, but its 10 ms tick could start waiting requests before a newer view arrived, such as one that takes its domain out.

Ruled out: refusing what waits at the end of each pause; short pauses without a change would then cost answers.

--- a/net/agentd.c
+++ b/net/agentd.c
@@ -201,9 +201,12 @@
 {
 	struct plug_agent_event event = { .kind = PLUG_AGENT_TICK };
 
+	/* Without a confirmed view a tick could start requests that wait in a
+	 * domain taken out during a pause. */
 	if (agentd->now >= agentd->next_tick) {
 		agentd->next_tick = agentd->now + AGENT_TICK;
-		plug_agent_handle(agentd->agent, agentd->now, &event);
+		if (plug_control_usable(&agentd->control, agentd->now))
+			plug_agent_handle(agentd->agent, agentd->now, &event);
 	}
 	if (atomic_load(&agentd->stopping) && !agentd->stop_sent) {
 		agentd->stop_sent = true;
