--- a/standins/caller.c
+++ b/standins/caller.c
@@ -130,9 +130,9 @@
 	group->links[request->flow].pending--;
 	(void)fprintf(group->record,
 	    "event=settled request=%s procedure=%u outcome=%s flow=%u "
-	    "submits=%u\n",
+	    "submits=%u time_us=%lld\n",
 	    request->workload.id, request->procedure, outcome, request->flow,
-	    request->submits);
+	    request->submits, (long long)plug_standin_wall_time());
 }
 
 static void
@@ -197,8 +197,10 @@
 	group->counts.broken++;
 	link->opened = false;
 	link->open_at = group->now + REOPEN_WAIT;
-	(void)fprintf(group->record, "event=broken flow=%u reason=%s\n",
-	    link->index, plug_callerflow_reason_name(reason));
+	(void)fprintf(group->record,
+	    "event=broken name=%s flow=%u reason=%s time_us=%lld\n",
+	    group->name, link->index, plug_callerflow_reason_name(reason),
+	    (long long)plug_standin_wall_time());
 }
 
 static void
@@ -284,8 +286,10 @@
 	group->request_count++;
 	group->counts.sent++;
 	link->pending++;
-	(void)fprintf(group->record, "event=sent request=%s procedure=%u\n",
-	    request->workload.id, request->procedure);
+	(void)fprintf(group->record,
+	    "event=sent request=%s procedure=%u flow=%u time_us=%lld\n",
+	    request->workload.id, request->procedure, request->flow,
+	    (long long)plug_standin_wall_time());
 	submit(group, request);
 }
 
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -28,6 +28,18 @@
 	return ts.tv_sec * PLUG_SEC + ts.tv_nsec / NSEC_PER_USEC;
 }
 
+/**
+ * plug_standin_wall_time() - time since 1970, for records that are compared
+ */
+plug_time
+plug_standin_wall_time(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_REALTIME, &ts);
+	return ts.tv_sec * PLUG_SEC + ts.tv_nsec / NSEC_PER_USEC;
+}
+
 /**
  * plug_standin_to_sockaddr() - socket address of an endpoint
  * @endpoint: endpoint
@@ -121,7 +133,7 @@
 }
 
 /**
- * plug_standin_signals() - receive SIGTERM, SIGINT and SIGUSR1 as events
+ * plug_standin_signals() - receive stop and user signals as events
  *
  * Return: descriptor to poll, or -1 after a message on standard error.
  */
@@ -136,6 +148,7 @@
 	(void)sigaddset(&set, SIGTERM);
 	(void)sigaddset(&set, SIGINT);
 	(void)sigaddset(&set, SIGUSR1);
+	(void)sigaddset(&set, SIGUSR2);
 	(void)sigprocmask(SIG_BLOCK, &set, NULL);
 	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	if (fd < 0)
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -8,6 +8,7 @@
 #define PLUG_STANDIN_USAGE 2 /* exit status for wrong arguments */
 
 plug_time plug_standin_now(void);
+plug_time plug_standin_wall_time(void);
 int plug_standin_bind(int type, struct plug_endpoint *local);
 int plug_standin_signals(void);
 int plug_standin_take_signal(int fd);
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -32,7 +32,7 @@
 #define LOAD_SCALE	 1000 /* the load is published in thousandths */
 #define BULK_MIN	 (PLUG_BLOCK_SIZE + 1) /* bytes of a bulk answer */
 #define ENDPOINT_TEXT	 24
-#define LINE_SIZE	 160 /* bytes of one line in the record file */
+#define LINE_SIZE	 240 /* bytes of one line in the record file */
 
 /* Growing bytes. */
 struct buffer {
@@ -44,6 +44,7 @@
 struct connection {
 	int fd;
 	uint64_t id; /* never reused, unlike the place in the array */
+	bool silent; /* neither read nor answered any more */
 	struct buffer in;
 	struct buffer record; /* fragments so far */
 	struct buffer out;
@@ -169,7 +170,7 @@
 {
 	ssize_t n;
 
-	if (connection->out.len == 0)
+	if (connection->out.len == 0 || connection->silent)
 		return;
 	n = send(connection->fd, connection->out.data, connection->out.len,
 	    MSG_NOSIGNAL);
@@ -241,13 +242,22 @@
 	return up->cold_slots + whole + (whole < grown);
 }
 
+/*
+ * An arrival is recorded with the requests that the upstream then holds and
+ * with what it bears at its age.
+ */
 static void
-write_record(const struct upstream *up, const struct job *job)
+write_record(const struct upstream *up, plug_time now, const char *event,
+    const struct job *job)
 {
 	char line[LINE_SIZE];
 	int n = snprintf(line, sizeof(line),
-	    "event=start service=%u request=%s procedure=%u\n", up->service,
-	    job->workload.id, job->procedure);
+	    "event=%s service=%u request=%s procedure=%u time_us=%lld "
+	    "connection=%llu held=%u capacity=%u cold=%d\n",
+	    event, up->service, job->workload.id, job->procedure,
+	    (long long)plug_standin_wall_time(),
+	    (unsigned long long)job->connection, up->running + up->waiting,
+	    capacity(up, now), warmth(up, now) < 1);
 
 	if (up->record >= 0 && n > 0 && write(up->record, line, (size_t)n) != n)
 		perror("record");
@@ -266,7 +276,7 @@
 	job->running = true;
 	job->ends = now + (plug_time)((double)time * factor);
 	up->running++;
-	write_record(up, job);
+	write_record(up, now, "start", job);
 }
 
 static void
@@ -348,9 +358,12 @@
 	job->xid = xid;
 	job->procedure = procedure;
 	job->ends = deadline;
+	up->waiting++;
+	write_record(up, now, "arrival", job);
+	up->waiting--;
 	if (up->draining || up->running + up->waiting >= limit) {
 		if (cold && up->cold_fails && !up->draining) {
-			write_record(up, job);
+			write_record(up, now, "start", job);
 			reply(up, from, xid, SUCCESS, PLUG_UPSTREAM_FAILED,
 			    NULL, 0);
 			up->failed++;
@@ -583,11 +596,22 @@
 	(void)printf("event=cold_restart\n");
 }
 
+/* Connections that are open fail without a notice; new ones work. */
+static void
+silence_connections(struct upstream *up)
+{
+	for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
+		if (up->connections[i].fd >= 0)
+			up->connections[i].silent = true;
+	}
+	(void)printf("event=silent\n");
+}
+
 static bool
 flushed(const struct upstream *up)
 {
 	for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
-		if (up->connections[i].fd >= 0 &&
+		if (up->connections[i].fd >= 0 && !up->connections[i].silent &&
 		    up->connections[i].out.len > 0)
 			return false;
 	}
@@ -605,6 +629,9 @@
 	case SIGUSR1:
 		restart_cold(up, now);
 		break;
+	case SIGUSR2:
+		silence_connections(up);
+		break;
 	default:
 		break;
 	}
@@ -622,8 +649,10 @@
 		for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
 			struct connection *connection = &up->connections[i];
 
-			polled[i] = (struct pollfd){ .fd = connection->fd,
-				.events = POLLIN };
+			polled[i] = (struct pollfd){
+				.fd = connection->silent ? -1 : connection->fd,
+				.events = POLLIN
+			};
 			if (connection->fd >= 0 && connection->out.len > 0)
 				polled[i].events |= POLLOUT;
 		}
@@ -640,7 +669,8 @@
 
 			if (polled[i].revents & POLLOUT)
 				flush(connection);
-			if (connection->fd == polled[i].fd &&
+			if (!connection->silent &&
+			    connection->fd == polled[i].fd &&
 			    polled[i].revents & (POLLIN | POLLHUP | POLLERR))
 				read_connection(up, now, connection);
 		}
@@ -705,8 +735,9 @@
  * @argc: number of arguments
  * @argv: arguments, the first one is the subcommand
  *
- * SIGTERM drains and stops; SIGUSR1 is an unannounced cold restart. The
- * record file has one line for each request that was started. Return: exit
+ * SIGTERM drains and stops; SIGUSR1 is an unannounced cold restart; SIGUSR2
+ * silences the open connections for good. The record file has one line for
+ * each request that arrived and for each that was started. Return: exit
  * status.
  */
 int
