--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -322,8 +322,8 @@
 	}
 	for (struct job *job = up->jobs; job != NULL; job = job->next) {
 		if (!job->running && up->running < capacity(up, now)) {
-			start(up, now, job);
 			up->waiting--;
+			start(up, now, job);
 		}
 		if (job->ends < due)
 			due = job->ends;
--- a/tests/process/deployment.sh
+++ b/tests/process/deployment.sh
@@ -221,7 +221,7 @@
 
 start_config() { # options
 	run "$standin" config standin-config --listen "${config-$host:0}" \
-	    --dir "$dir/config" "$@"
+	    --dir "${config_dir-$dir/config}" "$@"
 	config=$(listening config listening 1) ||
 	    fail "the configuration service does not listen"
 }
@@ -298,6 +298,7 @@
 await_callers() {
 	local name
 	for name in "${callers[@]}"; do
+		[ -n "${pid_of[$name]-}" ] || continue
 		reap "$name" || fail "$name failed"
 	done
 }
@@ -307,6 +308,36 @@
 	    sed -n "s|^$2=||p"
 }
 
+sum_of() { # name, keys: sum of lines of the status
+	local name=$1
+	shift
+	"$standin" status "${address_of[$name]}" 2>/dev/null |
+	    awk -F= -v keys="$*" '
+	BEGIN { count = split(keys, list, " ") }
+	{ value[$1] = $2 }
+	END {
+		for (i = 1; i <= count; i++) {
+			if (!(list[i] in value))
+				exit 1
+			sum += value[list[i]]
+		}
+		print sum
+	}' || fail "$name shows no status"
+}
+
+version_of() { # name, key: version that it holds
+	status_of "$1" "version.$2"
+}
+
+newer_at() { # key, version, names: whether all hold a newer version
+	local key=$1 version=$2 name held
+	shift 2
+	for name; do
+		held=$(version_of "$name" "$key")
+		[ "${held:-0}" -gt "$version" ] || return 1
+	done
+}
+
 # Runs an awk program over the records of callers and upstreams, with the
 # key=value pairs of a line in field[] and the name of the process in process.
 # A caller's record has a line when a request is sent and one when it is
@@ -319,7 +350,10 @@
 			delete field[key]
 		for (i = 1; i <= NF; i++) {
 			at = index(\$i, \"=\")
-			field[substr(\$i, 1, at - 1)] = substr(\$i, at + 1)
+			value = substr(\$i, at + 1)
+			if (value ~ /^[0-9]+\$/)
+				value += 0
+			field[substr(\$i, 1, at - 1)] = value
 		}
 		process = FILENAME
 		sub(/.*\\//, \"\", process)
