--- a/cli/check.c
+++ b/cli/check.c
@@ -53,19 +53,20 @@
 	if (plug_file_read(path, PLUG_DOCUMENT_SIZE_MAX, &data, &len,
 		&status) != PLUG_OK) {
 		(void)fprintf(stderr, "%s: %s\n", path, status.message);
-		return status.code == PLUG_E_OVERSIZE ? 1 : 2;
+		return status.code == PLUG_E_OVERSIZE ? PLUG_EXIT_FAILURE
+						      : PLUG_EXIT_USAGE;
 	}
 	code = parse(kind, (struct plug_str){ data, len }, &status);
 	free(data);
 	if (code == PLUG_OK)
-		return 0;
+		return PLUG_EXIT_OK;
 	if (sscanf(status.message, "line %u: %n", &line, &skip) != 1 ||
 	    skip == 0) {
 		line = 1;
 		skip = 0;
 	}
 	(void)printf("%s:%u: %s\n", path, line, status.message + skip);
-	return 1;
+	return PLUG_EXIT_FAILURE;
 }
 
 /**
@@ -87,26 +88,29 @@
 	struct arg_lit *members = arg_lit0(NULL, "members", "instance list");
 	struct arg_file *files =
 	    arg_filen(NULL, NULL, "FILE", 1, FILES_MAX, "files to check");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { service, settings, members, files, end };
-	int result = 0, count;
+	void *table[] = { service, settings, members, files, arg_end(8) };
+	enum kind kind = KIND_SERVICE;
+	int result;
 
-	if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0 ||
-	    service->count + settings->count + members->count > 1) {
-		arg_print_errors(stderr, end, "check");
-		(void)fprintf(stderr,
-		    "usage: check [--service|--settings|--members] FILE...\n");
-		result = 2;
+	if (!plug_arguments_parse(argc, argv, table, &result))
+		goto out;
+	result = PLUG_EXIT_USAGE;
+	if (service->count + settings->count + members->count > 1) {
+		(void)fprintf(
+		    stderr, "check: only one kind of file can be checked\n");
+		goto out;
 	}
-	count = result == 0 ? files->count : 0;
-	for (int i = 0; i < count; i++) {
-		enum kind kind = settings->count > 0  ? KIND_SETTINGS
-				 : members->count > 0 ? KIND_MEMBERS
-						      : KIND_SERVICE;
+	if (settings->count > 0)
+		kind = KIND_SETTINGS;
+	else if (members->count > 0)
+		kind = KIND_MEMBERS;
+	result = PLUG_EXIT_OK;
+	for (int i = 0; i < files->count; i++) {
 		int one = check_file(kind, files->filename[i]);
 
 		result = one > result ? one : result;
 	}
+out:
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return result;
 }
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -1,16 +1,8 @@
 #ifndef PLUG_COMMANDS_H
 #define PLUG_COMMANDS_H
 
-#include <stdbool.h>
-
 #include "libplantainlug/settings.h"
-
-/* Exit codes of every subcommand. */
-enum plug_exit {
-	PLUG_EXIT_OK = 0,
-	PLUG_EXIT_FAILURE = 1,
-	PLUG_EXIT_USAGE = 2,
-};
+#include "net/arguments.h"
 
 /* Each subcommand gets its own name as argv[0] and returns an exit code. */
 int plug_cli_entry(int argc, char **argv);
--- a/cli/run.c
+++ b/cli/run.c
@@ -69,27 +69,13 @@
     enum plug_code (*run)(
 	const struct plug_settings *settings, struct plug_status *status))
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_file *config =
 	    arg_file1("c", "config", "FILE", "process settings");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { help, config, end };
-	int result = PLUG_EXIT_USAGE;
-	int errors;
+	void *table[] = { config, arg_end(8) };
+	int result;
 
-	if (arg_nullcheck(table) != 0)
-		return PLUG_EXIT_FAILURE;
-	errors = arg_parse(argc, argv, table);
-	if (help->count > 0) {
-		(void)printf("usage: plantainlug %s", argv[0]);
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		result = PLUG_EXIT_OK;
-	} else if (errors > 0) {
-		arg_print_errors(stderr, end, argv[0]);
-	} else {
+	if (plug_arguments_parse(argc, argv, table, &result))
 		result = run_role(config->filename[0], role, run);
-	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return result;
 }
--- a/cli/status.c
+++ b/cli/status.c
@@ -121,27 +121,13 @@
 int
 plug_cli_status(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_str *address = arg_str1(
 	    NULL, NULL, "IP:PORT", "control address of an entry or agent");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { help, address, end };
-	int result = PLUG_EXIT_USAGE;
-	int errors;
+	void *table[] = { address, arg_end(8) };
+	int result;
 
-	if (arg_nullcheck(table) != 0)
-		return PLUG_EXIT_FAILURE;
-	errors = arg_parse(argc, argv, table);
-	if (help->count > 0) {
-		(void)printf("usage: plantainlug %s", argv[0]);
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		result = PLUG_EXIT_OK;
-	} else if (errors > 0) {
-		arg_print_errors(stderr, end, argv[0]);
-	} else {
+	if (plug_arguments_parse(argc, argv, table, &result))
 		result = print_status(address->sval[0]);
-	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return result;
 }
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -558,7 +558,7 @@
 	int status;
 
 	(void)setvbuf(stdout, NULL, _IOLBF, 0);
-	if (!plug_standin_parse(argc, argv, table, &status))
+	if (!plug_arguments_parse(argc, argv, table, &status))
 		goto out;
 	status = EXIT_FAILURE;
 	if (!plug_standin_endpoint(service->sval[0], &group.service))
--- a/standins/configservice.c
+++ b/standins/configservice.c
@@ -11,6 +11,7 @@
 #include <time.h>
 
 #include "../libplantainlug/document.h"
+#include "../net/arguments.h"
 #include "../net/file.h"
 #include "configservice.h"
 
@@ -452,22 +453,6 @@
 }
 
 /* plug_endpoint_parse() refuses port 0, which asks for a free port here. */
-static enum plug_code
-parse_listen(
-    const char *text, struct plug_endpoint *listen, struct plug_status *status)
-{
-	char copy[32];
-	size_t len = strlen(text);
-
-	if (!has_suffix(text, ":0") || len >= sizeof(copy))
-		return plug_endpoint_parse(plug_str_from(text), listen, status);
-	(void)snprintf(copy, sizeof(copy), "%.*s1", (int)len - 1, text);
-	if (plug_endpoint_parse(plug_str_from(copy), listen, status) != PLUG_OK)
-		return status->code;
-	listen->port = 0;
-	return PLUG_OK;
-}
-
 static int
 serve_until_signal(
     const char *dir, struct plug_endpoint listen, uint64_t first_version)
@@ -514,28 +499,25 @@
 	struct arg_str *dir = arg_str1(NULL, "dir", "DIR", "keys to serve");
 	struct arg_int *first = arg_int0(
 	    NULL, "first-version", "N", "version of the first key (1)");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { listen_text, dir, first, end };
+	void *table[] = { listen_text, dir, first, arg_end(8) };
 	struct plug_endpoint listen;
 	struct plug_status status;
-	int result = 2;
+	int result;
 
-	plug_status_init(&status);
-	if (arg_nullcheck(table) != 0) {
-		arg_freetable(table, sizeof(table) / sizeof(table[0]));
-		return 1;
-	}
 	first->ival[0] = 1;
-	if (arg_parse(argc, argv, table) > 0)
-		arg_print_errors(stderr, end, "standin-config");
-	else if (first->ival[0] < 1 || parse_listen(listen_text->sval[0],
-					   &listen, &status) != PLUG_OK)
-		(void)fprintf(stderr,
-		    "standin-config: wrong --listen or --first-version %s\n",
-		    status.message);
+	if (!plug_arguments_parse(argc, argv, table, &result))
+		goto out;
+	result = PLUG_EXIT_USAGE;
+	if (plug_endpoint_parse_listen(plug_str_from(listen_text->sval[0]),
+		&listen, &status) != PLUG_OK)
+		(void)fprintf(stderr, "standin-config: %s\n", status.message);
+	else if (first->ival[0] < 1)
+		(void)fprintf(
+		    stderr, "standin-config: --first-version is below 1\n");
 	else
 		result = serve_until_signal(
 		    dir->sval[0], listen, (uint64_t)first->ival[0]);
+out:
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return result;
 }
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -1,4 +1,3 @@
-#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -159,45 +158,6 @@
 	return (int)info.ssi_signo;
 }
 
-static void
-print_usage(FILE *file, const char *name, void **table)
-{
-	(void)fprintf(file, "usage: plantainlug %s", name);
-	arg_print_syntax(file, table, "\n");
-	arg_print_glossary(file, table, "  %-28s %s\n");
-}
-
-/**
- * plug_standin_parse() - parse arguments with argtable2
- * @argc: number of arguments, with the subcommand
- * @argv: arguments
- * @table: argtable whose last element is an arg_end
- * @status: exit status when the subcommand should not run
- *
- * --help prints the options. Return: whether the subcommand should run.
- */
-bool
-plug_standin_parse(int argc, char **argv, void **table, int *status)
-{
-	size_t last = 0;
-
-	*status = PLUG_STANDIN_USAGE;
-	if (arg_nullcheck(table) != 0)
-		return false;
-	if (argc == 2 && strcmp(argv[1], "--help") == 0) {
-		print_usage(stdout, argv[0], table);
-		*status = EXIT_SUCCESS;
-		return false;
-	}
-	if (arg_parse(argc, argv, table) == 0)
-		return true;
-	while (!(((struct arg_hdr *)table[last])->flag & ARG_TERMINATOR))
-		last++;
-	arg_print_errors(stderr, table[last], argv[0]);
-	print_usage(stderr, argv[0], table);
-	return false;
-}
-
 /**
  * plug_standin_poll_wait() - timeout for poll(2)
  * @now: time
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -4,14 +4,12 @@
 #include <netinet/in.h>
 
 #include "libplantainlug/client.h"
-
-#define PLUG_STANDIN_USAGE 2 /* exit status for wrong arguments */
+#include "net/arguments.h"
 
 plug_time plug_standin_now(void);
 int plug_standin_bind(int type, struct plug_endpoint *local);
 int plug_standin_signals(void);
 int plug_standin_take_signal(int fd);
-bool plug_standin_parse(int argc, char **argv, void **table, int *status);
 bool plug_standin_endpoint(const char *text, struct plug_endpoint *endpoint);
 struct sockaddr_in plug_standin_to_sockaddr(struct plug_endpoint endpoint);
 struct plug_endpoint plug_standin_from_sockaddr(struct sockaddr_in in);
