--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -27,10 +27,13 @@
 typedef struct Plug__FlowRecord Plug__FlowRecord;
 typedef struct Plug__Prepare Plug__Prepare;
 typedef struct Plug__Prepared Plug__Prepared;
+typedef struct Plug__RefusedRequest Plug__RefusedRequest;
 typedef struct Plug__Commit Plug__Commit;
 typedef struct Plug__Committed Plug__Committed;
 typedef struct Plug__Abort Plug__Abort;
 typedef struct Plug__Completion Plug__Completion;
+typedef struct Plug__StatusRequest Plug__StatusRequest;
+typedef struct Plug__StatusReply Plug__StatusReply;
 typedef struct Plug__Message Plug__Message;
 
 
@@ -169,10 +172,11 @@
   Plug__RequestState state;
   uint32_t outcome;
   ProtobufCBinaryData answer;
+  protobuf_c_boolean idempotent;
 };
 #define PLUG__REQUEST_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__request_record__descriptor) \
-    , 0, PLUG__REQUEST_STATE__REQUEST_REFUSED, 0, {0,NULL} }
+    , 0, PLUG__REQUEST_STATE__REQUEST_REFUSED, 0, {0,NULL}, 0 }
 
 
 struct  Plug__FlowRecord
@@ -219,14 +223,35 @@
     , 0, 0,NULL }
 
 
+/*
+ * RefusedRequest names a request that the source refused after PREPARE.
+ */
+struct  Plug__RefusedRequest
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  uint32_t xid;
+};
+#define PLUG__REFUSED_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__refused_request__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Commit makes the target the owner. It lists what the source has refused
+ * since PREPARE, so that no late duplicate of a refused request runs at the
+ * target.
+ */
 struct  Plug__Commit
 {
   ProtobufCMessage base;
   uint64_t batch;
+  size_t n_refused;
+  Plug__RefusedRequest **refused;
 };
 #define PLUG__COMMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__commit__descriptor) \
-    , 0 }
+    , 0, 0,NULL }
 
 
 /*
@@ -255,7 +280,9 @@
 
 
 /*
- * Completion reports the end of a request that ran at the previous owner.
+ * Completion reports the end of a request that ran at the previous owner. With
+ * xid 0 it goes from the new owner to the previous one and reports that the
+ * caller uses the new token.
  */
 struct  Plug__Completion
 {
@@ -264,10 +291,34 @@
   uint32_t xid;
   uint32_t outcome;
   ProtobufCBinaryData answer;
+  protobuf_c_boolean idempotent;
 };
 #define PLUG__COMPLETION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__completion__descriptor) \
-    , 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, {0,NULL}, 0 }
+
+
+/*
+ * StatusRequest asks a process for its state; the reply comes back on the same
+ * connection. text holds one key=value pair a line.
+ */
+struct  Plug__StatusRequest
+{
+  ProtobufCMessage base;
+};
+#define PLUG__STATUS_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__status_request__descriptor) \
+     }
+
+
+struct  Plug__StatusReply
+{
+  ProtobufCMessage base;
+  char *text;
+};
+#define PLUG__STATUS_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__status_reply__descriptor) \
+    , (char *)protobuf_c_empty_string }
 
 
 typedef enum {
@@ -283,7 +334,9 @@
   PLUG__MESSAGE__BODY_COMMIT = 10,
   PLUG__MESSAGE__BODY_COMMITTED = 11,
   PLUG__MESSAGE__BODY_ABORT = 12,
-  PLUG__MESSAGE__BODY_COMPLETION = 13
+  PLUG__MESSAGE__BODY_COMPLETION = 13,
+  PLUG__MESSAGE__BODY_STATUS_REQUEST = 14,
+  PLUG__MESSAGE__BODY_STATUS_REPLY = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PLUG__MESSAGE__BODY__CASE)
 } Plug__Message__BodyCase;
 
@@ -305,6 +358,8 @@
     Plug__Committed *committed;
     Plug__Abort *abort;
     Plug__Completion *completion;
+    Plug__StatusRequest *status_request;
+    Plug__StatusReply *status_reply;
   };
 };
 #define PLUG__MESSAGE__INIT \
@@ -540,6 +595,25 @@
 void   plug__prepared__free_unpacked
                      (Plug__Prepared *message,
                       ProtobufCAllocator *allocator);
+/* Plug__RefusedRequest methods */
+void   plug__refused_request__init
+                     (Plug__RefusedRequest         *message);
+size_t plug__refused_request__get_packed_size
+                     (const Plug__RefusedRequest   *message);
+size_t plug__refused_request__pack
+                     (const Plug__RefusedRequest   *message,
+                      uint8_t             *out);
+size_t plug__refused_request__pack_to_buffer
+                     (const Plug__RefusedRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__RefusedRequest *
+       plug__refused_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__refused_request__free_unpacked
+                     (Plug__RefusedRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Plug__Commit methods */
 void   plug__commit__init
                      (Plug__Commit         *message);
@@ -616,6 +690,44 @@
 void   plug__completion__free_unpacked
                      (Plug__Completion *message,
                       ProtobufCAllocator *allocator);
+/* Plug__StatusRequest methods */
+void   plug__status_request__init
+                     (Plug__StatusRequest         *message);
+size_t plug__status_request__get_packed_size
+                     (const Plug__StatusRequest   *message);
+size_t plug__status_request__pack
+                     (const Plug__StatusRequest   *message,
+                      uint8_t             *out);
+size_t plug__status_request__pack_to_buffer
+                     (const Plug__StatusRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__StatusRequest *
+       plug__status_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__status_request__free_unpacked
+                     (Plug__StatusRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Plug__StatusReply methods */
+void   plug__status_reply__init
+                     (Plug__StatusReply         *message);
+size_t plug__status_reply__get_packed_size
+                     (const Plug__StatusReply   *message);
+size_t plug__status_reply__pack
+                     (const Plug__StatusReply   *message,
+                      uint8_t             *out);
+size_t plug__status_reply__pack_to_buffer
+                     (const Plug__StatusReply   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__StatusReply *
+       plug__status_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__status_reply__free_unpacked
+                     (Plug__StatusReply *message,
+                      ProtobufCAllocator *allocator);
 /* Plug__Message methods */
 void   plug__message__init
                      (Plug__Message         *message);
@@ -673,6 +785,9 @@
 typedef void (*Plug__Prepared_Closure)
                  (const Plug__Prepared *message,
                   void *closure_data);
+typedef void (*Plug__RefusedRequest_Closure)
+                 (const Plug__RefusedRequest *message,
+                  void *closure_data);
 typedef void (*Plug__Commit_Closure)
                  (const Plug__Commit *message,
                   void *closure_data);
@@ -685,6 +800,12 @@
 typedef void (*Plug__Completion_Closure)
                  (const Plug__Completion *message,
                   void *closure_data);
+typedef void (*Plug__StatusRequest_Closure)
+                 (const Plug__StatusRequest *message,
+                  void *closure_data);
+typedef void (*Plug__StatusReply_Closure)
+                 (const Plug__StatusReply *message,
+                  void *closure_data);
 typedef void (*Plug__Message_Closure)
                  (const Plug__Message *message,
                   void *closure_data);
@@ -707,10 +828,13 @@
 extern const ProtobufCMessageDescriptor plug__flow_record__descriptor;
 extern const ProtobufCMessageDescriptor plug__prepare__descriptor;
 extern const ProtobufCMessageDescriptor plug__prepared__descriptor;
+extern const ProtobufCMessageDescriptor plug__refused_request__descriptor;
 extern const ProtobufCMessageDescriptor plug__commit__descriptor;
 extern const ProtobufCMessageDescriptor plug__committed__descriptor;
 extern const ProtobufCMessageDescriptor plug__abort__descriptor;
 extern const ProtobufCMessageDescriptor plug__completion__descriptor;
+extern const ProtobufCMessageDescriptor plug__status_request__descriptor;
+extern const ProtobufCMessageDescriptor plug__status_reply__descriptor;
 extern const ProtobufCMessageDescriptor plug__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -10,6 +10,7 @@
 	int failed;
 
 	srunner_add_suite(runner, callerflow_suite());
+	srunner_add_suite(runner, router_suite());
 	srunner_add_suite(runner, document_suite());
 	srunner_add_suite(runner, keystore_suite());
 	srunner_add_suite(runner, settings_suite());
