--- a/Makefile
+++ b/Makefile
@@ -26,15 +26,17 @@
 CLI_SOURCES = $(wildcard cli/*.c)
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
 BENCH_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
+SCENARIO_SOURCES = $(wildcard tests/scenario/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
 HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
-	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] bench/*.[ch])
+	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] tests/scenario/*.[ch] \
+	bench/*.[ch])
 
 objects = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIB_OBJECTS = $(call objects,$(LIB_SOURCES))
 PROGRAM_OBJECTS = $(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES) $(CLI_SOURCES))
 
-all: $(BUILD)/plantainlug
+all: $(BUILD)/plantainlug $(BUILD)/scenario
 
 $(BUILD)/plantainlug: $(PROGRAM_OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
@@ -43,6 +45,10 @@
 	$(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $$(pkg-config --libs check)
 
+$(BUILD)/scenario: $(call objects,$(SCENARIO_SOURCES)) $(LIB_OBJECTS) \
+	$(BUILD)/standins/callerflow.o
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/common.o \
 	$(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
@@ -69,7 +75,7 @@
 sanitized:
 	$(MAKE) BUILD=$(SANITIZE_BUILD) OPTIMISE="-O1 -g" \
 	    SANITIZE="$(SANITIZE_FLAGS)" $(SANITIZE_BUILD)/plantainlug \
-	    $(SANITIZE_BUILD)/unit-tests
+	    $(SANITIZE_BUILD)/unit-tests $(SANITIZE_BUILD)/scenario
 
 fuzzers: $(patsubst tests/fuzz/%.c,$(BUILD)/fuzz/%,$(FUZZ_SOURCES))
 
@@ -79,6 +85,10 @@
 bench: $(addprefix $(BUILD)/bench/,$(BENCH_NAMES))
 	for name in $(BENCH_NAMES); do $(BUILD)/bench/$$name || exit 1; done
 
+# Product against baseline on the same scenarios and seeds.
+measure: $(BUILD)/scenario
+	tests/measure/run $(BUILD)
+
 format:
 	clang-format -i $(HAND_WRITTEN)
 
@@ -104,4 +114,4 @@
 	rm -rf build
 
 .PHONY: all bench check clean format format-check fuzzers generate install-packages \
-	lint run sanitized
+	lint measure run sanitized
--- /dev/null
+++ b/tests/scenario/callers.c
@@ -0,0 +1,236 @@
+#include "world.h"
+
+#define BULK_SIZE      20000 /* bytes of a large answer */
+#define CALLER_TICK    (20 * PLUG_MSEC)
+#define CALLER_ADDRESS 0x0a090000U
+#define CALLER_PORT    20000
+#define PORTS_PER_FLOW 16
+#define SHORT_DEADLINE (2 * PLUG_SEC)
+#define BULK_DEADLINE  (10 * PLUG_SEC)
+#define FABRIC_NOTICE  PLUG_SEC /* until the fabric skips a dead entry */
+#define RETRY_DEFAULT  (100 * PLUG_MSEC)
+#define FIRST_CALL     (2 * PLUG_SEC) /* when callers arrive */
+
+/* Builds the one right answer to a request. */
+uint8_t *
+request_answer(uint64_t tag, size_t *len)
+{
+	uint8_t *answer;
+
+	*len = world.requests[tag].operation == BULK ? BULK_SIZE : 16;
+	answer = apr_palloc(world.pool, *len);
+	for (size_t i = 0; i < *len; i++)
+		answer[i] = (uint8_t)(tag >> 8 * (i % 8) ^ i / 8);
+	return answer;
+}
+
+static void
+trace(const struct caller *caller, const char *event, const char *what,
+    uint64_t id)
+{
+	if (world.trace)
+		printf("t=%.6f who=caller%d event=%s what=%s id=%llx\n",
+		    (double)world.now / (double)PLUG_SEC, caller->index, event,
+		    what, (unsigned long long)id);
+}
+
+/* The fabric sprays over the entries that it believes to be alive. */
+static void
+send_packet(void *data, const uint8_t *packet, size_t len)
+{
+	struct caller *caller = data;
+	struct event event = { .kind = IN_DATAGRAM, .target = -1, .len = len };
+	int seen = 0;
+
+	if (caller->flow.caller.port == caller->silent_port)
+		return;
+	for (int i = 0; i < world.process_count; i++) {
+		const struct process *process = &world.processes[i];
+
+		if (process->service < 0 &&
+		    ((process->alive && !process->paused) ||
+			world.now - process->gone < FABRIC_NOTICE) &&
+		    uniform() * ++seen < 1)
+			event.target = i;
+	}
+	if (event.target < 0)
+		return;
+	trace(caller, "send", world.processes[event.target].name,
+	    packet[PLUG_PACKET_HEADER + 2] << 8 | packet[PLUG_PACKET_HEADER + 3]);
+	event.epoch = world.processes[event.target].epoch;
+	event.data = (uint8_t *)packet;
+	link_send(LINK_CALLER, PLACE_CALLERS, event.target, &event);
+}
+
+static void
+settled(void *data, const struct plug_callerflow_result *result)
+{
+	struct caller *caller = data;
+	struct request *request = &world.requests[result->tag];
+	plug_time wait = result->retry_after_ms * PLUG_MSEC;
+	struct event *again;
+	size_t len;
+
+	trace(caller, "settled", plug_callerflow_outcome_name(result->outcome),
+	    result->tag);
+	request->ended = world.now;
+	request->end = END_UNKNOWN;
+	if (result->outcome == PLUG_CALLERFLOW_ANSWERED) {
+		const uint8_t *right = request_answer(result->tag, &len);
+
+		request->end = END_ANSWERED;
+		world.figures.wrong_answers +=
+		    len != result->answer.len ||
+		    memcmp(right, result->answer.data, len) != 0;
+	} else if (result->outcome == PLUG_CALLERFLOW_NOT_RUN) {
+		request->end = END_NOT_RUN;
+		wait = wait > 0 ? wait : RETRY_DEFAULT;
+		request->retried = world.now + wait < request->deadline;
+		again = event_new(EV_SUBMIT, caller->index, 0);
+		again->a = result->tag + 1;
+		if (request->retried)
+			event_at(again, wait);
+	}
+}
+
+/* Attributes a lost flow to its owner's crash, its domain or to a fault. */
+static void
+broken(void *data, enum plug_callerflow_reason reason)
+{
+	struct caller *caller = data;
+	struct plug_token_keys keys = { .count = 1 };
+	struct plug_token token = { 0 };
+	bool lost = false, out;
+
+	caller->reopen = true;
+	for (int i = 0; i < PLUG_TOKEN_KEY_SIZE - 1; i++)
+		keys.keys[0][i] = (uint8_t)i;
+	keys.keys[0][PLUG_TOKEN_KEY_SIZE - 1] = (uint8_t)caller->service;
+	(void)plug_token_open(caller->flow.token, &keys, &token);
+	trace(
+	    caller, "broken", plug_callerflow_reason_name(reason), token.flow);
+	for (int i = 0; i < world.killed_count; i++)
+		lost = lost || world.killed[i] == token.instance;
+	out = false;
+	for (int i = 0; i < world.process_count; i++)
+		out = out || (world.processes[i].instance == token.instance &&
+				 process_out(&world.processes[i]));
+	if (reason == PLUG_CALLERFLOW_NO_OPEN)
+		world.figures.failed_opens++;
+	else if (out)
+		world.figures.lost_with_domain++;
+	else if (lost)
+		world.figures.lost_with_owner++;
+	else
+		world.figures.broken_flows++;
+}
+
+static void
+renew_port(void *data)
+{
+	struct caller *caller = data;
+	struct plug_endpoint address = caller->flow.caller;
+
+	address.port++;
+	world.figures.renewals++;
+	plug_callerflow_set_caller(&caller->flow, address);
+}
+
+/* Adds a caller that keeps one flow and sends a request now and then. */
+void
+caller_add(
+    int service, plug_time from, plug_time every, const unsigned int *weights)
+{
+	struct caller *caller = &world.callers[world.caller_count];
+
+	if (world.caller_count == CALLERS_MAX)
+		abort();
+	caller->index = world.caller_count++;
+	caller->service = service;
+	caller->every = every;
+	memcpy(caller->weights, weights, sizeof(caller->weights));
+	caller->client.random[0] = (unsigned short)caller->index;
+	caller->client.random[1] = (unsigned short)world.seed;
+	caller->handler = (struct plug_callerflow_handler){ caller, send_packet,
+		settled, broken, renew_port };
+	caller->reopen = true;
+	event_at(event_new(EV_CALLER_TICK, caller->index, 0),
+	    FIRST_CALL + from + seconds(uniform()));
+	event_at(event_new(EV_SUBMIT, caller->index, 0),
+	    FIRST_CALL + from + PLUG_SEC +
+		(plug_time)(uniform() * (double)every));
+}
+
+static void
+submit(struct caller *caller, uint64_t retry_of)
+{
+	uint64_t tag = world.request_count++;
+	struct request *request = &world.requests[tag];
+	const struct plug_str body = { (const char *)&tag, sizeof(tag) };
+	double point = 0;
+	uint32_t xid;
+
+	if (world.request_count == REQUESTS_MAX)
+		abort();
+	if (retry_of != 0) {
+		*request = world.requests[retry_of - 1];
+		request->retried = false;
+		request->runs = 0;
+	} else {
+		for (int i = 0; i < OPERATIONS; i++)
+			point += caller->weights[i];
+		for (point *= uniform();
+		     point >= caller->weights[request->operation];)
+			point -= caller->weights[request->operation++];
+		request->service = caller->service;
+		request->sent = world.now;
+		request->deadline =
+		    world.now + (request->operation == BULK ? BULK_DEADLINE
+							    : SHORT_DEADLINE);
+		event_at(event_new(EV_SUBMIT, caller->index, 0),
+		    (plug_time)((0.5 + uniform()) * (double)caller->every));
+	}
+	request->end = END_NONE;
+	if (caller->flow.state != PLUG_CALLERFLOW_OPEN ||
+	    plug_callerflow_submit(&caller->flow, world.now,
+		(uint32_t)request->operation + 1, body, request->operation != 0,
+		request->deadline, tag, &xid) != PLUG_OK)
+		request->end = END_NOT_SENT;
+}
+
+static void
+tick(struct caller *caller)
+{
+	const struct plug_endpoint address = { CALLER_ADDRESS |
+						   (uint32_t)caller->index,
+		(uint16_t)(CALLER_PORT + PORTS_PER_FLOW * caller->flows) };
+
+	if (caller->reopen) {
+		if (caller->flows++ > 0)
+			plug_callerflow_finish(&caller->flow);
+		caller->reopen = false;
+		plug_callerflow_init(&caller->flow, &caller->client,
+		    &caller->handler, address,
+		    world.services[caller->service].address,
+		    (uint32_t)(caller->service + SERVICE_BASE));
+		plug_callerflow_open(&caller->flow, world.now);
+	}
+	plug_callerflow_tick(&caller->flow, world.now);
+}
+
+/* Something happens at a caller. */
+void
+caller_event(struct event *event)
+{
+	struct caller *caller = &world.callers[event->target];
+
+	if (event->kind == EV_SUBMIT)
+		submit(caller, event->a);
+	else if (event->kind == EV_CALLER_TICK) {
+		tick(caller);
+		event_at(event, CALLER_TICK);
+	} else if (event->b == caller->flow.caller.port &&
+		   event->b != caller->silent_port)
+		plug_callerflow_receive(
+		    &caller->flow, world.now, event->data, event->len);
+}
