--- a/tests/scenario/baseline.c
+++ b/tests/scenario/baseline.c
@@ -76,11 +76,11 @@
 	const size_t size = sizeof(process->instance);
 	struct plug_call call;
 
-	if (event->kind == IN_REPLY)
+	if (event->kind == AGENT(UPSTREAM_REPLY))
 		answer(process, event);
-	if (event->kind == IN_STOP)
+	if (event->kind == AGENT(STOP))
 		process->stopped = true;
-	if (event->kind != IN_DATAGRAM ||
+	if (event->kind != AGENT(DATAGRAM) ||
 	    plug_packet_decode_call(event->data, event->len, &call, NULL) !=
 		PLUG_OK)
 		return;
--- a/tests/scenario/callers.c
+++ b/tests/scenario/callers.c
@@ -24,22 +24,14 @@
 	return answer;
 }
 
-static void
-trace(const struct caller *caller, const char *event, const char *what,
-    uint64_t id)
-{
-	if (world.trace)
-		printf("t=%.6f who=caller%d event=%s what=%s id=%llx\n",
-		    (double)world.now / (double)PLUG_SEC, caller->index, event,
-		    what, (unsigned long long)id);
-}
-
 /* The fabric sprays over the entries that it believes to be alive. */
 static void
 send_packet(void *data, const uint8_t *packet, size_t len)
 {
 	struct caller *caller = data;
-	struct event event = { .kind = IN_DATAGRAM, .target = -1, .len = len };
+	struct event event = {
+		.kind = AGENT(DATAGRAM), .target = -1, .len = len
+	};
 	int seen = 0;
 
 	if (caller->flow.caller.port == caller->silent_port)
@@ -55,8 +47,10 @@
 	}
 	if (event.target < 0)
 		return;
-	trace(caller, "send", world.processes[event.target].name,
-	    packet[PLUG_PACKET_HEADER + 2] << 8 | packet[PLUG_PACKET_HEADER + 3]);
+	trace("caller%d event=send xid=%d entry=%s", caller->index,
+	    packet[PLUG_PACKET_HEADER + 2] << 8 |
+		packet[PLUG_PACKET_HEADER + 3],
+	    world.processes[event.target].name);
 	event.epoch = world.processes[event.target].epoch;
 	event.data = (uint8_t *)packet;
 	link_send(LINK_CALLER, PLACE_CALLERS, event.target, &event);
@@ -71,8 +65,9 @@
 	struct event *again;
 	size_t len;
 
-	trace(caller, "settled", plug_callerflow_outcome_name(result->outcome),
-	    result->tag);
+	trace("caller%d event=settled outcome=%s request=%llu", caller->index,
+	    plug_callerflow_outcome_name(result->outcome),
+	    (unsigned long long)result->tag);
 	request->ended = world.now;
 	request->end = END_UNKNOWN;
 	if (result->outcome == PLUG_CALLERFLOW_ANSWERED) {
@@ -100,29 +95,26 @@
 	struct caller *caller = data;
 	struct plug_token_keys keys = { .count = 1 };
 	struct plug_token token = { 0 };
-	bool lost = false, out;
+	double *figure = &world.figures.broken_flows;
 
 	caller->reopen = true;
 	for (int i = 0; i < PLUG_TOKEN_KEY_SIZE - 1; i++)
 		keys.keys[0][i] = (uint8_t)i;
 	keys.keys[0][PLUG_TOKEN_KEY_SIZE - 1] = (uint8_t)caller->service;
 	(void)plug_token_open(caller->flow.token, &keys, &token);
-	trace(
-	    caller, "broken", plug_callerflow_reason_name(reason), token.flow);
+	trace("caller%d event=broken reason=%s flow=%016llx instance=%016llx",
+	    caller->index, plug_callerflow_reason_name(reason),
+	    (unsigned long long)token.flow, (unsigned long long)token.instance);
 	for (int i = 0; i < world.killed_count; i++)
-		lost = lost || world.killed[i] == token.instance;
-	out = false;
+		if (world.killed[i] == token.instance)
+			figure = &world.figures.lost_with_owner;
 	for (int i = 0; i < world.process_count; i++)
-		out = out || (world.processes[i].instance == token.instance &&
-				 process_out(&world.processes[i]));
+		if (world.processes[i].instance == token.instance &&
+		    process_out(&world.processes[i]))
+			figure = &world.figures.lost_with_domain;
 	if (reason == PLUG_CALLERFLOW_NO_OPEN)
-		world.figures.failed_opens++;
-	else if (out)
-		world.figures.lost_with_domain++;
-	else if (lost)
-		world.figures.lost_with_owner++;
-	else
-		world.figures.broken_flows++;
+		figure = &world.figures.failed_opens;
+	(*figure)++;
 }
 
 static void
@@ -157,7 +149,7 @@
 	event_at(event_new(EV_CALLER_TICK, caller->index, 0),
 	    FIRST_CALL + from + seconds(uniform()));
 	event_at(event_new(EV_SUBMIT, caller->index, 0),
-	    FIRST_CALL + from + PLUG_SEC +
+	    FIRST_CALL + from + 2 * PLUG_SEC +
 		(plug_time)(uniform() * (double)every));
 }
 
--- a/tests/scenario/fakes.c
+++ b/tests/scenario/fakes.c
@@ -10,7 +10,7 @@
 #define BULK_TIME     (200 * PLUG_MSEC)
 
 static struct event *
-tell(const struct process *process, enum event_kind kind)
+tell(const struct process *process, int kind)
 {
 	struct event *event = event_new(kind, process->index, process->epoch);
 
@@ -23,7 +23,7 @@
 upstream_reconnect(struct process *process)
 {
 	if (process->upstream.connection != 0)
-		(void)tell(process, IN_CLOSED);
+		(void)tell(process, AGENT(UPSTREAM_CLOSED));
 	process->upstream.connection = 0;
 	(void)tell(process, EV_CONNECT);
 }
@@ -60,7 +60,7 @@
 		return;
 	}
 	process->upstream.connection = ++world.seq;
-	(void)tell(process, IN_OPEN);
+	(void)tell(process, AGENT(UPSTREAM_OPEN));
 }
 
 /* Carries a request from an agent to its upstream. */
@@ -94,7 +94,7 @@
 shed(struct process *process, const struct event *call)
 {
 	struct upstream *upstream = &process->upstream;
-	struct event *reply = tell(process, IN_REPLY);
+	struct event *reply = tell(process, AGENT(UPSTREAM_REPLY));
 
 	reply->a = call->a;
 	reply->b = PLUG_UPSTREAM_SHED;
@@ -155,7 +155,7 @@
 		if (upstream->connection != event->b ||
 		    upstream->silent == event->b)
 			return;
-		event->kind = IN_REPLY;
+		event->kind = AGENT(UPSTREAM_REPLY);
 		event->epoch = process->epoch;
 		event->b = PLUG_UPSTREAM_DONE;
 		event_at(event, LOOPBACK);
@@ -163,7 +163,7 @@
 		   event->epoch == upstream->connection &&
 		   event->epoch != upstream->silent) {
 		if (event->b == PLUG_PROCEDURE_NULL)
-			tell(process, IN_REPLY)->a = event->a;
+			tell(process, AGENT(UPSTREAM_REPLY))->a = event->a;
 		else
 			run_call(process, event);
 	}
@@ -181,7 +181,7 @@
 	if (upstream->connection == 0 ||
 	    upstream->connection == upstream->silent)
 		return;
-	health = tell(process, IN_HEALTH);
+	health = tell(process, AGENT(UPSTREAM_HEALTH));
 	uptime = uptime < 0 ? LONG_UPTIME : uptime;
 	health->a = (uint64_t)(uptime / PLUG_SEC);
 	health->b = upstream->draining;
@@ -307,8 +307,8 @@
 				       (stale ? QUERY_BACKOFF : WAIT_LONGEST)))
 			continue;
 		watch->asked = world.now;
-		value = event_new(down ? IN_FAILURE : IN_VALUE, process->index,
-		    process->epoch);
+		value = event_new(down ? NODE(FAILURE) : NODE(VALUE),
+		    process->index, process->epoch);
 		value->key = watch->key;
 		if (!down) {
 			watch->index = value->a = version;
--- a/tests/scenario/main.c
+++ b/tests/scenario/main.c
@@ -76,8 +76,8 @@
 			values = true;
 		else if (strcmp(argv[i], "--measure") == 0)
 			measure = true;
-		else if (strcmp(argv[i], "--baseline") == 0)
-			blank.baseline = true;
+		else if (strcmp(argv[i], "--policy") == 0 && ++i)
+			blank.baseline = strcmp(value, "baseline") == 0;
 		else if (strncmp(argv[i], "--seed", 6) == 0 && ++i) {
 			if (sscanf(value, "%llu-%llu", &from, &to) == 1)
 				to = from;
@@ -94,10 +94,11 @@
 	}
 	if (bad || file == NULL ||
 	    (blank.record == NULL) != (blank.record_name == NULL)) {
-		(void)fputs("usage: scenario FILE [--seeds A-B | --seed N] "
-			    "[--trace] [--values] [--measure] [--baseline]\n"
-			    "           [--record OUT --process NAME]\n"
-			    "       scenario --replay FILE\n",
+		(void)fputs(
+		    "usage: scenario FILE [--seeds A-B | --seed N] "
+		    "[--trace] [--values] [--measure] [--policy baseline]\n"
+		    "           [--record OUT --process NAME]\n"
+		    "       scenario --replay FILE\n",
 		    stderr);
 		return 2;
 	}
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -115,11 +115,18 @@
 	fail("unknown instance", name);
 }
 
-static bool
-is_domain(const char *name)
+static int
+find_place(const char *name)
 {
-	return name[0] == 'd' && name[1] >= '1' && name[1] < '1' + DOMAINS &&
-	       name[2] == '\0';
+	static const char *const names[] = { "callers", "config", "d1", "d2",
+		"d3" };
+	static const int places[] = { PLACE_CALLERS, PLACE_CONFIG, PLACE_DOMAIN,
+		PLACE_DOMAIN - 1, PLACE_DOMAIN - 2 };
+
+	for (int i = 0; i < 2 + DOMAINS; i++)
+		if (strcmp(names[i], name) == 0)
+			return places[i];
+	return find_process(name)->index;
 }
 
 static void
@@ -170,20 +177,17 @@
 set_link(void)
 {
 	static const char *const names[] = { "caller", "data", "control" };
-
-	for (int i = 0; i < LINK_CLASSES; i++) {
-		struct link_settings *link = &world.links[i];
-
-		if (!is(1, names[i]))
-			continue;
-		link->loss = option_number("loss", link->loss);
-		link->duplicate = option_number("duplicate", link->duplicate);
-		link->reorder = option_number("reorder", link->reorder);
-		link->delay = option_number("delay", link->delay);
-		link->jitter = option_number("jitter", link->jitter);
-		return;
-	}
-	fail("unknown link class", word(1));
+	struct link_settings *link = NULL;
+
+	for (int i = 0; i < LINK_CLASSES; i++)
+		link = is(1, names[i]) ? &world.links[i] : link;
+	if (link == NULL)
+		fail("unknown link class", word(1));
+	link->loss = option_number("loss", link->loss);
+	link->duplicate = option_number("duplicate", link->duplicate);
+	link->reorder = option_number("reorder", link->reorder);
+	link->delay = option_number("delay", link->delay);
+	link->jitter = option_number("jitter", link->jitter);
 }
 
 /* Starts, stops, kills, pauses or resumes an entry, agent, upstream or host. */
@@ -215,7 +219,8 @@
 		process->leaving = true;
 		process->leave_time = world.now;
 		config_members(process->service);
-		event_at(event_new(IN_STOP, process->index, process->epoch), 0);
+		event_at(
+		    event_new(AGENT(STOP), process->index, process->epoch), 0);
 	}
 }
 
@@ -238,18 +243,6 @@
 	}
 }
 
-static int
-find_place(const char *name)
-{
-	if (strcmp(name, "callers") == 0)
-		return PLACE_CALLERS;
-	if (strcmp(name, "config") == 0)
-		return PLACE_CONFIG;
-	if (is_domain(name))
-		return PLACE_DOMAIN - (name[1] - '1');
-	return find_process(name)->index;
-}
-
 static void
 cut_links(void)
 {
@@ -268,9 +261,9 @@
 static void
 change_domain(void)
 {
-	int domain = word(2)[1] - '1';
+	int domain = PLACE_DOMAIN - find_place(word(2));
 
-	if (!is_domain(word(2)))
+	if (domain < 0)
 		fail("unknown domain", word(2));
 	for (int i = 0; i < world.service_count; i++) {
 		if (!is(1, "all") && i != find_service(word(1)))
@@ -322,61 +315,73 @@
 }
 
 static void
-execute(void)
+set_world(void)
 {
-	int count;
+	int count = word_count > 1 ? atoi(words[1]) : 0;
 
 	if (is(0, "delay")) {
 		world.across = seconds(option_number("across", 0));
 		world.to_caller = seconds(option_number("callers", 0));
-	} else if (is(0, "service"))
-		add_service();
-	else if (is(0, "entries")) {
-		count = (int)number(word(1));
+	} else if (is(0, "list"))
+		world.list_lag = seconds(option_number("lag", 1));
+	else if (is(0, "run"))
+		world.end = seconds(number(word(1)));
+	else if (is(0, "heal"))
+		world.cut_count = 0;
+	else if (is(0, "config"))
+		world.config_down = is(1, "down");
+	else if (is(0, "entries"))
 		for (int i = 0; i < count; i++)
 			(void)process_add(
 			    apr_psprintf(world.pool, "entry%d", i + 1),
 			    i % DOMAINS, -1, ENTRY_NET | (uint32_t)(i + 1));
-	} else if (is(0, "callers"))
-		add_callers();
-	else if (is(0, "link"))
-		set_link();
-	else if (is(0, "list"))
-		world.list_lag = seconds(option_number("lag", 1));
-	else if (is(0, "run"))
-		world.end = seconds(number(word(1)));
-	else if (is(0, "start") || is(0, "stop") || is(0, "kill") ||
-		 is(0, "pause") || is(0, "resume"))
-		change_process();
-	else if (is(0, "cold") || is(0, "silence") || is(0, "drain") ||
-		 is(0, "health"))
-		change_upstream();
-	else if (is(0, "silence-callers")) {
-		count = (int)number(word(1));
+	else if (is(0, "silence-callers"))
 		for (int i = 0; i < count && i < world.caller_count; i++)
 			world.callers[i].silent_port =
 			    world.callers[i].flow.caller.port;
-	} else if (is(0, "cut"))
-		cut_links();
-	else if (is(0, "heal")) {
-		world.cut_count = 0;
-		world.healed = world.now;
-	} else if (is(0, "out") || is(0, "back"))
-		change_domain();
-	else if (is(0, "publish") || is(0, "corrupt"))
-		config_document(find_service(word(1)), is(0, "corrupt"));
-	else if (is(0, "stale") || is(0, "fresh"))
+	world.healed = world.now;
+}
+
+static void
+publish(void)
+{
+	int service = find_service(word(1));
+
+	if (is(0, "publish") || is(0, "corrupt"))
+		config_document(service, is(0, "corrupt"));
+	else
 		config_key(apr_pstrcat(world.pool, "service/", word(1), NULL))
 		    ->stale = is(0, "stale");
-	else if (is(0, "config")) {
-		world.config_down = is(1, "down");
-		world.healed = world.now;
-	} else if (is(0, "reuse"))
-		reuse_address();
-	else if (is(0, "expect"))
-		read_expectation();
-	else
-		fail("unknown command", words[0]);
+}
+
+static const struct {
+	void (*run)(void);
+	const char *names;
+} commands[] = {
+	{ add_service, " service " },
+	{ add_callers, " callers " },
+	{ set_link, " link " },
+	{ set_world, " delay list run heal config entries silence-callers " },
+	{ change_process, " start stop kill pause resume " },
+	{ change_upstream, " cold silence drain health " },
+	{ cut_links, " cut " },
+	{ change_domain, " out back " },
+	{ publish, " publish corrupt stale fresh " },
+	{ reuse_address, " reuse " },
+	{ read_expectation, " expect " },
+};
+
+static void
+execute(void)
+{
+	const char *name = apr_pstrcat(world.pool, " ", words[0], " ", NULL);
+
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		if (strstr(commands[i].names, name) != NULL) {
+			commands[i].run();
+			return;
+		}
+	fail("unknown command", words[0]);
 }
 
 /* Runs the timed command of a line. */
@@ -384,9 +389,7 @@
 script_command(int line)
 {
 	split(line);
-	if (world.trace)
-		printf("t=%.6f who=script %s\n",
-		    (double)world.now / (double)PLUG_SEC, lines[line].text);
+	trace("script %s", lines[line].text);
 	word_count -= 2;
 	memmove(words, words + 2, (size_t)word_count * sizeof(*words));
 	execute();
@@ -418,8 +421,8 @@
 		if (sscanf(text, "%15[a-z] %31s", kind, name) == 2 &&
 		    (strcmp(kind, "deployment") == 0 ||
 			strcmp(kind, "include") == 0)) {
-			(void)snprintf(other, sizeof(other), "%.*s%s.%s",
-			    slash, path, name, kind);
+			(void)snprintf(other, sizeof(other), "%.*s%s.%s", slash,
+			    path, name, kind);
 			(void)script_load(other);
 		} else if (text[strspn(text, " \t")] != '\0')
 			line_count++;
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -3,7 +3,6 @@
 #define AGENT_TICK   (10 * PLUG_MSEC)
 #define LOCAL_DELAY  200 /* microseconds inside one domain */
 #define HELD_MAX     4096
-#define SEEDS	     3
 #define HEALTH_EVERY PLUG_SEC
 #define OUT_BOUND    (3 * PLUG_SEC)
 
@@ -16,6 +15,21 @@
 	return erand48(world.rng);
 }
 
+/* Prints a line with the time and who has something to say. */
+void
+trace(const char *format, ...)
+{
+	va_list ap;
+
+	if (!world.trace)
+		return;
+	printf("t=%.6f who=", (double)world.now / (double)PLUG_SEC);
+	va_start(ap, format);
+	(void)vprintf(format, ap);
+	va_end(ap);
+	printf("\n");
+}
+
 /* Converts seconds to simulated time. */
 plug_time
 seconds(double value)
@@ -25,7 +39,7 @@
 
 /* Allocates an event for a target. */
 struct event *
-event_new(enum event_kind kind, int target, uint64_t epoch)
+event_new(int kind, int target, uint64_t epoch)
 {
 	struct event *event = apr_pcalloc(world.pool, sizeof(*event));
 
@@ -134,41 +148,45 @@
 static void
 start_ticks(struct process *process)
 {
-	event_at(event_new(IN_NODE_TICK, process->index, process->epoch), 0);
+	event_at(event_new(NODE(TICK), process->index, process->epoch), 0);
 	if (process->agent != NULL)
 		event_at(
-		    event_new(IN_AGENT_TICK, process->index, process->epoch),
-		    0);
+		    event_new(AGENT(TICK), process->index, process->epoch), 0);
 }
 
 /* Starts a process with an empty memory and a new instance id. */
 void
 process_start(struct process *process)
 {
-	struct plug_endpoint seeds[SEEDS];
-	unsigned int count = 0;
+	struct identity identity = { .endpoint = process->endpoint,
+		.domain = process->domain,
+		.service = process->service,
+		.now = world.now };
 
 	if (process->alive)
 		return;
-	for (int i = 0; i < world.process_count && count < SEEDS; i++)
-		if (i != process->index && world.processes[i].service < 0)
-			seeds[count++] = world.processes[i].endpoint;
+	for (int i = 0; i < world.process_count; i++)
+		if (i != process->index && world.processes[i].service < 0 &&
+		    identity.seed_count < SEEDS)
+			identity.seeds[identity.seed_count++] =
+			    world.processes[i].endpoint;
+	if (process->service >= 0)
+		(void)apr_cpystrn(identity.service_name,
+		    world.services[process->service].name, PLUG_NAME_SIZE);
 	process->alive = true;
 	process->leaving = process->stopped = false;
 	process->since = world.now;
 	process->epoch = ++world.seq;
+	process->instance = identity.instance = process->epoch << 32 | 1;
 	for (int i = 0; i < 3; i++)
-		process->client.random[i] = (unsigned short)(uniform() * 65536);
-	process->instance = plug_client_random_id(&process->client);
+		identity.random[i] = (unsigned short)(uniform() * 65536);
 	memset(process->seen, 0, sizeof(process->seen));
 	if (world.record != NULL &&
 	    strcmp(process->name, world.record_name) == 0) {
 		process->record = world.record;
 		world.record = NULL;
 	}
-	process_create(process,
-	    process->service < 0 ? "" : world.services[process->service].name,
-	    seeds, count);
+	process_create(process, &identity);
 	start_ticks(process);
 	config_members(process->service);
 	if (process->upstream.alive)
@@ -184,6 +202,7 @@
 	if (crash && world.killed_count < KILLED_MAX)
 		world.killed[world.killed_count++] = process->instance;
 	process_destroy(process);
+	apr_array_clear(process->held);
 	process->alive = process->paused = false;
 	process->gone = crash ? world.now : -PLUG_SEC * SECONDS_MAX;
 	process->epoch = ++world.seq;
@@ -214,12 +233,12 @@
 	if (!process->alive || event->epoch != process->epoch)
 		return;
 	if (process->paused) {
-		if (event->kind > IN_AGENT_TICK &&
+		if (event->kind != AGENT(TICK) && event->kind != NODE(TICK) &&
 		    process->held->nelts < HELD_MAX)
 			APR_ARRAY_PUSH(process->held, struct event *) = event;
 		return;
 	}
-	if (event->kind == IN_DATAGRAM && process_out(process)) {
+	if (event->kind == AGENT(DATAGRAM) && process_out(process)) {
 		late =
 		    world.now -
 		    world.services[process->service].out_since[process->domain];
@@ -229,9 +248,10 @@
 			world.figures.domain_silent = (double)late;
 	}
 	process_input(process, event);
-	if (event->kind <= IN_AGENT_TICK)
-		event_at(event,
-		    event->kind == IN_NODE_TICK ? NODE_TICK : AGENT_TICK);
+	if (event->kind == NODE(TICK))
+		event_at(event, NODE_TICK);
+	else if (event->kind == AGENT(TICK))
+		event_at(event, AGENT_TICK);
 	if (process->stopped)
 		process_end(process, false);
 }
@@ -272,7 +292,7 @@
 	while ((event = apr_skiplist_pop(world.queue, NULL)) != NULL &&
 	       event->time <= world.end) {
 		world.now = event->time;
-		if (event->kind < IN_COUNT)
+		if (event->kind < EV_CALL)
 			run_input(event);
 		else if (event->kind < EV_PACKET)
 			upstream_event(event);
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -24,6 +24,7 @@
 #define BULK	      2	   /* index of the operation with large answers */
 #define SECONDS_MAX   4000 /* longest run */
 #define LINES_MAX     200
+#define SEEDS	      3 /* peers that a process knows at its start */
 #define NODE_TICK     (100 * PLUG_MSEC)
 #define SERVICE_BASE  100 /* service ids count up from here */
 #define FABRIC_PORT   4754
@@ -41,22 +42,15 @@
 	double loss, duplicate, reorder, delay, jitter;
 };
 
-enum event_kind {
-	/* Inputs of a process; these are recorded and replayed. */
-	IN_NODE_TICK,
-	IN_AGENT_TICK,
-	IN_DATAGRAM,
-	IN_PEER,
-	IN_VALUE,
-	IN_FAILURE,
-	IN_OPEN,
-	IN_CLOSED,
-	IN_REPLY,
-	IN_HEALTH,
-	IN_STOP,
-	IN_COUNT,
-	/* Inputs of the fakes. */
-	EV_CALL = IN_COUNT,
+/* Inputs of a process carry the library's own numbers and are recorded. */
+#define IN_NODE	    0
+#define IN_AGENT    8
+#define NODE(name)  (IN_NODE + PLUG_NODE_##name)
+#define AGENT(name) (IN_AGENT + PLUG_AGENT_##name)
+
+/* Inputs of the fakes. */
+enum {
+	EV_CALL = 32,
 	EV_WORK_END,
 	EV_CONNECT,
 	EV_PACKET,
@@ -71,7 +65,7 @@
 struct event {
 	plug_time time;
 	uint64_t seq;
-	enum event_kind kind;
+	int kind;
 	int target;	/* process, caller or line */
 	uint64_t epoch; /* run or connection that it is meant for */
 	uint64_t a, b;
@@ -144,6 +138,18 @@
 	ENDS
 };
 
+/* What a process starts with. */
+struct identity {
+	uint64_t instance;
+	struct plug_endpoint endpoint;
+	int domain, service; /* service -1 for an entry */
+	char service_name[PLUG_NAME_SIZE];
+	struct plug_endpoint seeds[SEEDS];
+	unsigned int seed_count;
+	unsigned short random[3];
+	plug_time now;
+};
+
 struct request {
 	int service, operation;
 	plug_time sent, ended, deadline;
@@ -206,7 +212,8 @@
 extern struct world world;
 
 /* world.c */
-struct event *event_new(enum event_kind kind, int target, uint64_t epoch);
+struct event *event_new(int kind, int target, uint64_t epoch);
+void trace(const char *format, ...) __attribute__((format(printf, 1, 2)));
 void event_at(struct event *event, plug_time delay);
 double uniform(void);
 plug_time seconds(double value);
@@ -223,8 +230,7 @@
 void world_finish(void);
 
 /* process.c */
-void process_create(struct process *process, const char *service,
-    const struct plug_endpoint *seeds, unsigned int seed_count);
+void process_create(struct process *process, const struct identity *identity);
 void process_destroy(struct process *process);
 void process_input(struct process *process, const struct event *event);
 int process_replay(const char *path);
