--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -15,6 +15,8 @@
 	srunner_add_suite(runner, keystore_suite());
 	srunner_add_suite(runner, node_suite());
 	srunner_add_suite(runner, settings_suite());
+	srunner_add_suite(runner, callerflow_suite());
+	srunner_add_suite(runner, net_suite());
 	srunner_add_suite(runner, token_suite());
 	srunner_add_suite(runner, flow_suite());
 	srunner_add_suite(runner, limiter_suite());
