--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -14,6 +14,7 @@
 	srunner_add_suite(runner, document_suite());
 	srunner_add_suite(runner, keystore_suite());
 	srunner_add_suite(runner, node_suite());
+	srunner_add_suite(runner, platform_suite());
 	srunner_add_suite(runner, settings_suite());
 	srunner_add_suite(runner, callerflow_suite());
 	srunner_add_suite(runner, net_suite());
