--- a/cli/run.c
+++ b/cli/run.c
@@ -1,42 +1,14 @@
 #include <apr_general.h>
 #include <argtable2.h>
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "commands.h"
+#include "net/file.h"
 #include "net/stop.h"
 
 #define SETTINGS_SIZE_MAX ((size_t)1024 * 1024) /* bytes of a settings file */
 
-static enum plug_code
-read_file(
-    const char *path, char **text, size_t *len, struct plug_status *status)
-{
-	FILE *file = fopen(path, "re");
-	char *buf;
-
-	if (file == NULL)
-		return plug_status_set(
-		    status, PLUG_E_IO, "%s: %s", path, strerror(errno));
-	buf = malloc(SETTINGS_SIZE_MAX);
-	if (buf == NULL) {
-		(void)fclose(file);
-		return plug_status_set(status, PLUG_E_MEMORY, "out of memory");
-	}
-	*len = fread(buf, 1, SETTINGS_SIZE_MAX, file);
-	(void)fclose(file);
-	if (*len == SETTINGS_SIZE_MAX) {
-		free(buf);
-		return plug_status_set(status, PLUG_E_OVERSIZE,
-		    "%s: settings are limited to %zu bytes", path,
-		    SETTINGS_SIZE_MAX - 1);
-	}
-	*text = buf;
-	return PLUG_OK;
-}
-
 static enum plug_code
 read_settings(const char *path, enum plug_role role,
     struct plug_settings *settings, struct plug_status *status)
@@ -45,7 +17,7 @@
 	size_t len = 0;
 	char *text = NULL;
 
-	code = read_file(path, &text, &len, status);
+	code = plug_file_read(path, SETTINGS_SIZE_MAX, &text, &len, status);
 	if (code == PLUG_OK)
 		code = plug_settings_parse(
 		    (struct plug_str){ text, len }, settings, status);
