--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -11,7 +11,7 @@
 
 /* The lines of a scenario; a deployment file's are put in their place. */
 static struct {
-	const char *file;
+	char file[LINE_SIZE];
 	int number;
 	char text[LINE_SIZE];
 	struct expectation expect;
@@ -371,17 +371,19 @@
 	{ read_expectation, " expect " },
 };
 
+/* Runs the command that begins with a word, or only checks its name. */
 static void
-execute(void)
+execute(int first, bool check)
 {
-	const char *name = apr_pstrcat(world.pool, " ", words[0], " ", NULL);
+	const char *name = apr_pstrcat(world.pool, " ", word(first), " ", NULL);
 
 	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
 		if (strstr(commands[i].names, name) != NULL) {
-			commands[i].run();
+			if (!check)
+				commands[i].run();
 			return;
 		}
-	fail("unknown command", words[0]);
+	fail("unknown command", words[first]);
 }
 
 /* Runs the timed command of a line. */
@@ -392,7 +394,7 @@
 	trace("script %s", lines[line].text);
 	word_count -= 2;
 	memmove(words, words + 2, (size_t)word_count * sizeof(*words));
-	execute();
+	execute(0, false);
 }
 
 /* Reads a scenario; "deployment X" reads X.deployment beside it. */
@@ -404,7 +406,6 @@
 			? 0
 			: (int)(strrchr(path, '/') - path) + 1;
 	char kind[16], name[32], other[LINE_SIZE];
-	const char *copy = strdup(path);
 
 	if (file == NULL) {
 		perror(path);
@@ -416,7 +417,7 @@
 		if (fgets(text, LINE_SIZE, file) == NULL)
 			break;
 		text[strcspn(text, "#\n")] = '\0';
-		lines[line_count].file = copy;
+		(void)apr_cpystrn(lines[line_count].file, path, LINE_SIZE);
 		lines[line_count].number = i;
 		if (sscanf(text, "%15[a-z] %31s", kind, name) == 2 &&
 		    (strcmp(kind, "deployment") == 0 ||
@@ -441,11 +442,11 @@
 	for (int i = 0; i < line_count; i++) {
 		split(i);
 		if (is(0, "at")) {
-			(void)word(2);
+			execute(2, true);
 			event_at(event_new(EV_COMMAND, i, 0),
 			    seconds(number(words[1])));
 		} else
-			execute();
+			execute(0, false);
 	}
 	if (world.end == 0 || world.end >= SECONDS_MAX * PLUG_SEC)
 		fail("no run time below an hour", "run");
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -248,7 +248,7 @@
 void upstream_poll(struct process *process);
 struct key *config_key(const char *name);
 void config_store(const char *name, const char *data);
-void config_document(int service, bool corrupt);
+void config_document(int index, bool corrupt);
 void config_members(int service);
 void config_poll(struct process *process);
 
