--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -9,6 +9,7 @@
 	SRunner *runner = srunner_create(packet_suite());
 	int failed;
 
+	srunner_add_suite(runner, callerflow_suite());
 	srunner_add_suite(runner, router_suite());
 	srunner_add_suite(runner, document_suite());
 	srunner_add_suite(runner, keystore_suite());
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -3,9 +3,9 @@
 
 #include <check.h>
 
+Suite *callerflow_suite(void);
 Suite *document_suite(void);
 Suite *keystore_suite(void);
-Suite *callerflow_suite(void);
 Suite *node_suite(void);
 Suite *net_suite(void);
 Suite *packet_suite(void);
