--- a/tests/process/deployment.sh
+++ b/tests/process/deployment.sh
@@ -42,7 +42,9 @@
 	for name in "${!pid_of[@]}"; do
 		kill -KILL "${pid_of[$name]}" 2>/dev/null
 	done
-	wait 2>/dev/null
+	for name in "${!pid_of[@]}"; do
+		reap "$name"
+	done
 }
 
 fail() { # text
