--- a/libplantainlug/agent.c
+++ b/libplantainlug/agent.c
@@ -114,6 +114,7 @@
 		.running = agent->limiter.running,
 		.queued =
 		    plug_limiter_queued(&agent->limiter) + agent->delayed.count,
+		.work = agent->work,
 		.flows = agent->flows.open,
 		.limit = plug_limiter_limit(&agent->limiter),
 		.slots = agent->limiter.slots,
@@ -135,6 +136,9 @@
 	    agent->flows.open, agent->limiter.running,
 	    (unsigned long long)plug_agent_version(agent));
 	while ((flow = plug_flowtable_next(&agent->flows, flow)) != NULL) {
+		/* These live at another agent. */
+		if (flow->state == PLUG_FLOW_MOVED)
+			continue;
 		plug_agent_refuse_queued(
 		    agent, now, flow, "domain_out", PLUG_RETRY_LATER_MS);
 		plug_agent_give_up_running(agent, now, flow);
@@ -226,9 +230,24 @@
 	agent->logged_limit = limit;
 }
 
+/* Averages over single requests, which come and go between two reports. */
+static void
+update_work(struct plug_agent *agent, plug_time now)
+{
+	double share =
+	    (double)(now - agent->work_updated) / (double)PLUG_WORK_TIME;
+	double present = (double)agent->limiter.running +
+			 plug_limiter_queued(&agent->limiter) +
+			 agent->delayed.count;
+
+	agent->work_updated = now;
+	agent->work += (present - agent->work) * (share < 1 ? share : 1);
+}
+
 static void
 tick(struct plug_agent *agent, plug_time now)
 {
+	update_work(agent, now);
 	plug_limiter_tick(&agent->limiter, now);
 	log_limit(agent);
 	/* Tokens that are never used must not count as flows for long. */
--- a/libplantainlug/agent_internal.h
+++ b/libplantainlug/agent_internal.h
@@ -70,6 +70,8 @@
 	struct plug_leaving leaving;
 	uint32_t pending_opens; /* tokens minted and not yet used */
 	plug_time pending_halved;
+	double work; /* running and queued requests, averaged */
+	plug_time work_updated;
 	plug_time reported;
 	plug_time rebalanced;
 	plug_time overloaded; /* since when; valid while is_overloaded */
--- a/libplantainlug/node.c
+++ b/libplantainlug/node.c
@@ -204,6 +204,28 @@
 	return now - inquiry->answer >= INQUIRY_WAIT ? "timeout" : NULL;
 }
 
+static void
+emit_view(struct plug_node *node, plug_time now)
+{
+	struct plug_action action = { .kind = PLUG_ACTION_VIEW };
+
+	if (!node->joined || now < node->next_view ||
+	    node->view_sequence == node->gossip.catalog.view_sequence)
+		return;
+	action.view = plug_catalog_view(&node->gossip.catalog);
+	if (action.view == NULL)
+		return;
+	if (action.view->service_count > 0) {
+		node->view_sequence = node->gossip.catalog.view_sequence;
+		node->next_view = now + VIEW_INTERVAL;
+		plug_client_log(node->gossip.client, PLUG_LOG_INFO,
+		    "event=view services=%u entries=%u",
+		    action.view->service_count, action.view->entry_count);
+		plug_client_emit(node->gossip.client, &action);
+	}
+	plug_view_release(action.view);
+}
+
 static void
 check_inquiry(struct plug_node *node, plug_time now)
 {
@@ -225,31 +247,12 @@
 	    node->gossip.inquiry.answered_count,
 	    (long long)((now - node->gossip.inquiry.started) / PLUG_MSEC));
 	node->joined = true;
+	/* Traffic may go on only under the view that was confirmed. */
+	node->next_view = now;
+	emit_view(node, now);
 	atomic_store(&node->confirmed, true);
 }
 
-static void
-emit_view(struct plug_node *node, plug_time now)
-{
-	struct plug_action action = { .kind = PLUG_ACTION_VIEW };
-
-	if (!node->joined || now < node->next_view ||
-	    node->view_sequence == node->gossip.catalog.view_sequence)
-		return;
-	action.view = plug_catalog_view(&node->gossip.catalog);
-	if (action.view == NULL)
-		return;
-	if (action.view->service_count > 0) {
-		node->view_sequence = node->gossip.catalog.view_sequence;
-		node->next_view = now + VIEW_INTERVAL;
-		plug_client_log(node->gossip.client, PLUG_LOG_INFO,
-		    "event=view services=%u entries=%u",
-		    action.view->service_count, action.view->entry_count);
-		plug_client_emit(node->gossip.client, &action);
-	}
-	plug_view_release(action.view);
-}
-
 static void
 check_gap(struct plug_node *node, plug_time now)
 {
--- a/libplantainlug/placement.h
+++ b/libplantainlug/placement.h
@@ -6,12 +6,14 @@
 #define PLUG_SIBLINGS_MAX     32 /* siblings whose reports are remembered */
 #define PLUG_REPORT_INTERVAL  (500 * PLUG_MSEC)
 #define PLUG_REPORT_STALE     (3 * PLUG_SEC)
+#define PLUG_WORK_TIME	      (5 * PLUG_SEC) /* of the average of work */
 #define PLUG_REPORT_RECEIVERS 16 /* siblings that get the own report */
 
 /**
  * struct plug_load - load figures of one agent
  * @running: requests at its upstream
  * @queued: requests that wait
+ * @work: running and waiting requests, averaged over PLUG_WORK_TIME
  * @flows: open flows
  * @limit: current concurrency limit
  * @slots: limit when warm
@@ -21,6 +23,7 @@
 struct plug_load {
 	uint32_t running;
 	uint32_t queued;
+	double work;
 	uint32_t flows;
 	uint32_t limit;
 	uint32_t slots;
@@ -76,7 +79,8 @@
 void plug_placement_avoid(struct plug_placement *placement,
     struct plug_endpoint endpoint, plug_time until);
 const struct plug_sibling *
-plug_placement_lightest(const struct plug_placement *placement, plug_time now,
+plug_placement_lighter(const struct plug_placement *placement,
+    struct plug_client *client, plug_time now,
     const struct plug_service *service, uint32_t domain, double load);
 bool plug_placement_mean(const struct plug_placement *placement, plug_time now,
     const struct plug_service *service, double *mean);
--- a/libplantainlug/transfer.c
+++ b/libplantainlug/transfer.c
@@ -132,7 +132,7 @@
 		return;
 	case PLUG__MESSAGE__BODY_PREPARED:
 		plug_transfer_prepared_by(
-		    transfer, now, from, message->prepared);
+		    transfer, now, sender, message->prepared);
 		return;
 	case PLUG__MESSAGE__BODY_COMMIT:
 		plug_transfer_take_commit(
@@ -140,7 +140,7 @@
 		return;
 	case PLUG__MESSAGE__BODY_COMMITTED:
 		plug_transfer_committed_by(
-		    transfer, now, from, message->committed);
+		    transfer, now, sender, message->committed);
 		return;
 	case PLUG__MESSAGE__BODY_ABORT:
 		batch = plug_transfer_find_in(
--- a/libplantainlug/transfer.h
+++ b/libplantainlug/transfer.h
@@ -3,10 +3,10 @@
 
 #include "flowtable.h"
 
-#define PLUG_BATCH_FLOWS 64 /* flows in one batch */
-#define PLUG_BATCHES_OUT 4  /* batches that are handed away at a time */
-#define PLUG_BATCHES_IN	 32 /* prepared batches that are held at a time */
-#define PLUG_COMMITS_MAX 64 /* batches whose commit is remembered */
+#define PLUG_BATCH_FLOWS 64  /* flows in one batch */
+#define PLUG_BATCHES_OUT 4   /* batches that are handed away at a time */
+#define PLUG_BATCHES_IN	 32  /* prepared batches that are held at a time */
+#define PLUG_ENDS_MAX	 256 /* batches whose end is remembered */
 
 /* Larger answers follow the commit, each in a COMPLETION of its own. */
 #define PLUG_INLINE_ANSWER_MAX 16384 /* bytes */
@@ -25,7 +25,9 @@
  * struct plug_batch_out - flows on their way to a target
  * @id: batch id; 0 while unused
  * @target: address of the target
- * @committed: COMMIT was sent; the flows never resume here
+ * @instance: its instance id, known from PREPARED on
+ * @committed: COMMIT was sent; the flows resume here only when the same
+ *   instance says that it has dropped them
  * @started: time of PREPARE or of the first COMMIT
  * @sent: time of the last message
  * @flows: ids, @count of them
@@ -33,6 +35,7 @@
 struct plug_batch_out {
 	uint64_t id;
 	struct plug_endpoint target;
+	uint64_t instance;
 	bool committed;
 	plug_time started;
 	plug_time sent;
@@ -57,6 +60,16 @@
 	struct plug_flow *flows[PLUG_BATCH_FLOWS];
 };
 
+/**
+ * struct plug_batch_end - what became of a batch at its target
+ * @id: batch id; 0 while unused
+ * @taken: its flows were taken over; otherwise they were dropped
+ */
+struct plug_batch_end {
+	uint64_t id;
+	bool taken;
+};
+
 /**
  * struct plug_transfer - moves of flows to and from siblings
  * @client: handlers and random numbers
@@ -67,8 +80,8 @@
  * @notify_data: first argument of @notify
  * @out: batches as the source
  * @in: batches as the target
- * @commits: ids of the last batches taken over, a ring
- * @commit_next: next place in @commits
+ * @ends: last batches that ended here as the target, a ring
+ * @end_next: next place in @ends
  */
 struct plug_transfer {
 	struct plug_client *client;
@@ -79,8 +92,8 @@
 	void *notify_data;
 	struct plug_batch_out out[PLUG_BATCHES_OUT];
 	struct plug_batch_in in[PLUG_BATCHES_IN];
-	uint64_t commits[PLUG_COMMITS_MAX];
-	unsigned int commit_next;
+	struct plug_batch_end ends[PLUG_ENDS_MAX];
+	unsigned int end_next;
 };
 
 void
--- a/libplantainlug/transfer_internal.h
+++ b/libplantainlug/transfer_internal.h
@@ -14,9 +14,9 @@
 
 /* transfer_source.c */
 void plug_transfer_prepared_by(struct plug_transfer *transfer, plug_time now,
-    struct plug_endpoint from, const Plug__Prepared *prepared);
+    const Plug__Sender *sender, const Plug__Prepared *prepared);
 void plug_transfer_committed_by(struct plug_transfer *transfer, plug_time now,
-    struct plug_endpoint from, const Plug__Committed *committed);
+    const Plug__Sender *sender, const Plug__Committed *committed);
 void plug_transfer_source_tick(struct plug_transfer *transfer, plug_time now,
     bool (*listed)(const void *data, struct plug_endpoint endpoint),
     const void *data);
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -1342,7 +1342,7 @@
   (ProtobufCMessageInit) plug__value__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__report__field_descriptors[8] =
+static const ProtobufCFieldDescriptor plug__report__field_descriptors[9] =
 {
   {
     "running",
@@ -1440,6 +1440,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_milli",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Report, work_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__report__field_indices_by_name[] = {
   7,   /* field[7] = config_version */
@@ -1450,11 +1462,12 @@
   6,   /* field[6] = refusing */
   0,   /* field[0] = running */
   4,   /* field[4] = slots */
+  8,   /* field[8] = work_milli */
 };
 static const ProtobufCIntRange plug__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor plug__report__descriptor =
 {
@@ -1464,7 +1477,7 @@
   "Plug__Report",
   "plug",
   sizeof(Plug__Report),
-  8,
+  9,
   plug__report__field_descriptors,
   plug__report__field_indices_by_name,
   1,  plug__report__number_ranges,
@@ -1868,7 +1881,7 @@
   (ProtobufCMessageInit) plug__commit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__committed__field_descriptors[2] =
+static const ProtobufCFieldDescriptor plug__committed__field_descriptors[3] =
 {
   {
     "batch",
@@ -1894,15 +1907,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "dropped",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Committed, dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__committed__field_indices_by_name[] = {
   0,   /* field[0] = batch */
+  2,   /* field[2] = dropped */
   1,   /* field[1] = known */
 };
 static const ProtobufCIntRange plug__committed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor plug__committed__descriptor =
 {
@@ -1912,7 +1938,7 @@
   "Plug__Committed",
   "plug",
   sizeof(Plug__Committed),
-  2,
+  3,
   plug__committed__field_descriptors,
   plug__committed__field_indices_by_name,
   1,  plug__committed__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -163,10 +163,14 @@
   protobuf_c_boolean leaving;
   protobuf_c_boolean refusing;
   uint64_t config_version;
+  /*
+   * Mean of running and queued requests over some seconds, in thousandths.
+   */
+  uint32_t work_milli;
 };
 #define PLUG__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Plug__RequestRecord
@@ -259,18 +263,20 @@
 
 
 /*
- * Committed confirms a commit. known is false when the target no longer holds
- * the batch.
+ * Committed answers a commit. known is false when the target doesn't hold the
+ * batch. dropped says that this instance has dropped the prepared batch without
+ * taking it over and never will, so the source may resume its flows.
  */
 struct  Plug__Committed
 {
   ProtobufCMessage base;
   uint64_t batch;
   protobuf_c_boolean known;
+  protobuf_c_boolean dropped;
 };
 #define PLUG__COMMITTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__committed__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Plug__Abort
