Add the subcommand explain

Nobody could tell from the logs of many processes why a flow broke, why a host ran hot or which traffic crossed failure domains without reading them by hand.

"explain flow" prints the life of a flow over all nodes in time order and the first cause of its end; "explain host" lists the decisions and limits of a host and names the dominant cause; "explain traffic" sums up event=traffic. A line that can't be read is reported with file and line, counted and passed over.

Ruled out: escaping quotes in reasons, which would change lines that operators search for; the parser ends a quoted value at a quote before another key.

--- a/cli/main.c
+++ b/cli/main.c
@@ -14,6 +14,8 @@
 	{ "agent", plug_cli_agent, "run an agent" },
 	{ "status", plug_cli_status, "print the state of an entry or agent" },
 	{ "check", plug_cli_check, "check a document or a settings file" },
+	{ "explain", plug_cli_explain,
+	    "tell from logs why something happened" },
 	{ "standin-config", plug_standin_config_main,
 	    "serve files as the configuration service" },
 	{ "standin-fabric", plug_cli_standin_fabric,
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -23,6 +23,7 @@
 	srunner_add_suite(runner, agent_suite());
 	srunner_add_suite(runner, transfer_suite());
 	srunner_add_suite(runner, faults_suite());
+	srunner_add_suite(runner, explain_suite());
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -18,5 +18,6 @@
 Suite *agent_suite(void);
 Suite *transfer_suite(void);
 Suite *faults_suite(void);
+Suite *explain_suite(void);
 
 #endif
