--- a/net/agentd.c
+++ b/net/agentd.c
@@ -124,7 +124,10 @@
 		renew_fabric(agentd);
 		break;
 	case PLUG_ACTION_STOPPED:
-		atomic_store(&agentd->stopped, true);
+		/* An agent that left for another reason keeps running: the
+		 * host may come back into service. */
+		if (agentd->stop_sent)
+			atomic_store(&agentd->stopped, true);
 		break;
 	case PLUG_ACTION_WATCH:
 	case PLUG_ACTION_UNWATCH:
@@ -219,9 +222,12 @@
 {
 	struct plug_agent_event event = { .kind = PLUG_AGENT_TICK };
 
+	/* Without a confirmed view a tick could start requests that wait in a
+	 * domain taken out during a pause. */
 	if (agentd->now >= agentd->next_tick) {
 		agentd->next_tick = agentd->now + AGENT_TICK;
-		plug_agent_handle(agentd->agent, agentd->now, &event);
+		if (plug_control_usable(&agentd->control, agentd->now))
+			plug_agent_handle(agentd->agent, agentd->now, &event);
 	}
 	if (atomic_load(&agentd->stopping) && !agentd->stop_sent) {
 		agentd->stop_sent = true;
