Log the flow of unknown and foreign requests and of every refusal

The log of an agent didn't tell which flows a lost upstream connection hit, a refusal by the upstream had no flow id, and a call that reached an agent of another service left a counter only, so the cause couldn't be told for a flow.

event=unknown names each request that is answered as unknown. event=refuse has the flow and xid in all cases. event=foreign names the flow that the token states, unchecked; since anybody can send such calls, it is logged at most once a second, with the number of calls that were not logged.

Ruled out: logging each foreign call, which would let a sender fill the log.

--- a/libplantainlug/agent_flow.c
+++ b/libplantainlug/agent_flow.c
@@ -13,6 +13,8 @@
 /* A forwarded open call has one hop left, so it isn't forwarded again. */
 #define OPEN_HOPS 1
 
+#define FOREIGN_LOG_INTERVAL PLUG_SEC /* between two lines event=foreign */
+
 /* Takes hops off a packet until it has no more than the given number. */
 static bool
 limit_hops(uint8_t *data, size_t len, uint8_t ttl, unsigned int hops)
@@ -350,6 +352,36 @@
 	serve(agent, now, flow, call, token, data, len);
 }
 
+/*
+ * A call for another service, or with a token that this service didn't mint. It
+ * reaches an agent whose address another service had before. Anybody can send
+ * such calls, so one a second is logged and the others are counted. The flow id
+ * is what the token says, unchecked.
+ */
+static void
+foreign(struct plug_agent *agent, plug_time now, const struct plug_call *call)
+{
+	struct plug_token token = { 0 };
+
+	agent->counters[PLUG_COUNT_FOREIGN]++;
+	if (agent->foreign_logged == 0 ||
+	    now - agent->foreign_logged >= FOREIGN_LOG_INTERVAL) {
+		if (call->has_token)
+			(void)plug_token_peek(call->token, &token);
+		plug_client_log(agent->client, PLUG_LOG_WARN,
+		    "event=foreign service=%u flow=%016llx xid=%u unlogged=%u "
+		    "version=%llu",
+		    call->program, (unsigned long long)token.flow, call->xid,
+		    agent->foreign_unlogged,
+		    (unsigned long long)plug_agent_version(agent));
+		agent->foreign_logged = now;
+		agent->foreign_unlogged = 0;
+	} else {
+		agent->foreign_unlogged++;
+	}
+	plug_agent_reply(agent, now, call, NULL, PLUG_OUTCOME_FLOW_LOST, 0);
+}
+
 static void
 find_flow(struct plug_agent *agent, plug_time now, const struct plug_call *call,
     const struct plug_token *token, uint8_t *data, size_t len)
@@ -413,9 +445,7 @@
 	document = &agent->service->document;
 	if (call.program != agent->config.service ||
 	    !plug_endpoint_equal(call.service, document->address)) {
-		agent->counters[PLUG_COUNT_FOREIGN]++;
-		plug_agent_reply(
-		    agent, now, &call, NULL, PLUG_OUTCOME_FLOW_LOST, 0);
+		foreign(agent, now, &call);
 		return;
 	}
 	if (!call.has_token) {
@@ -425,9 +455,7 @@
 	if (plug_token_open(call.token, &document->token_keys, &token) !=
 		PLUG_OK ||
 	    token.service != agent->config.service) {
-		agent->counters[PLUG_COUNT_FOREIGN]++;
-		plug_agent_reply(
-		    agent, now, &call, NULL, PLUG_OUTCOME_FLOW_LOST, 0);
+		foreign(agent, now, &call);
 		return;
 	}
 	if (agent->domain_out) {
--- a/libplantainlug/agent_internal.h
+++ b/libplantainlug/agent_internal.h
@@ -77,6 +77,8 @@
 	uint32_t logged_limit;
 	uint32_t resend_bits; /* last packets, 1 for a resend after an answer */
 	unsigned int resend_count;
+	plug_time foreign_logged;
+	unsigned int foreign_unlogged; /* since foreign_logged */
 	uint64_t counters[PLUG_COUNT_AGENT_COUNT];
 };
 
--- a/libplantainlug/agent_upstream.c
+++ b/libplantainlug/agent_upstream.c
@@ -47,8 +47,16 @@
 		plug_request_free(request, &agent->flows.answers);
 		return;
 	}
-	if (!plug_request_final(request))
+	if (!plug_request_final(request)) {
 		plug_request_end(request, state, now);
+		if (state == PLUG_REQUEST_UNKNOWN)
+			plug_client_log(agent->client, PLUG_LOG_INFO,
+			    "event=unknown flow=%016llx xid=%u procedure=%u "
+			    "version=%llu",
+			    (unsigned long long)flow->id, request->xid,
+			    request->procedure,
+			    (unsigned long long)plug_agent_version(agent));
+	}
 	plug_agent_reply_block(agent, now, flow, request, 0);
 	plug_transfer_ended(&agent->transfer, flow, request);
 }
@@ -270,9 +278,11 @@
 		return;
 	request->retry_after_ms = plug_limiter_wait_ms(&agent->limiter);
 	plug_client_log(agent->client, PLUG_LOG_INFO,
-	    "event=refuse reason=%s procedure=%u retry_after_ms=%u "
-	    "version=%llu",
-	    reason, request->procedure, request->retry_after_ms,
+	    "event=refuse reason=%s flow=%016llx xid=%u procedure=%u "
+	    "retry_after_ms=%u version=%llu",
+	    reason,
+	    request->flow != NULL ? (unsigned long long)request->flow->id : 0,
+	    request->xid, request->procedure, request->retry_after_ms,
 	    (unsigned long long)plug_agent_version(agent));
 	/* An earlier attempt that broke may have run. */
 	plug_agent_finish(agent, now, request,
--- a/libplantainlug/token.c
+++ b/libplantainlug/token.c
@@ -54,6 +54,48 @@
 	(void)crypto_shorthash(p, wire, TOKEN_MAC_AT, keys->keys[0]);
 }
 
+static void
+decode(const uint8_t *p, struct plug_token *token)
+{
+	uint64_t v;
+
+	p = get_number(p, &v, 2);
+	token->generation = (uint16_t)v;
+	p = get_number(p, &v, 4);
+	token->service = (uint32_t)v;
+	p = get_number(p, &v, 4);
+	token->agent.address = (uint32_t)v;
+	p = get_number(p, &v, 2);
+	token->agent.port = (uint16_t)v;
+	p = get_number(p, &v, 2);
+	p = get_number(p, &v, 4);
+	token->domain = (uint32_t)v;
+	p = get_number(p, &v, 4);
+	token->minted_ms = (uint32_t)v;
+	p = get_number(p, &token->instance, 8);
+	(void)get_number(p, &token->flow, 8);
+}
+
+/**
+ * plug_token_peek() - decode a token without checking its MAC
+ * @wire: PLUG_TOKEN_SIZE bytes from a packet
+ * @token: result; not to be trusted, for logs only
+ *
+ * Return: false for an unknown format.
+ */
+bool
+plug_token_peek(const uint8_t wire[PLUG_TOKEN_SIZE], struct plug_token *token)
+{
+	const uint8_t *p = wire;
+	uint64_t v;
+
+	p = get_number(p, &v, 2);
+	if (v != TOKEN_FORMAT)
+		return false;
+	decode(p, token);
+	return true;
+}
+
 /**
  * plug_token_open() - check a token's MAC and decode it
  * @wire: PLUG_TOKEN_SIZE bytes from a packet
@@ -83,20 +125,6 @@
 	if (i == keys->count)
 		return PLUG_E_TOKEN;
 
-	p = get_number(p, &v, 2);
-	token->generation = (uint16_t)v;
-	p = get_number(p, &v, 4);
-	token->service = (uint32_t)v;
-	p = get_number(p, &v, 4);
-	token->agent.address = (uint32_t)v;
-	p = get_number(p, &v, 2);
-	token->agent.port = (uint16_t)v;
-	p = get_number(p, &v, 2);
-	p = get_number(p, &v, 4);
-	token->domain = (uint32_t)v;
-	p = get_number(p, &v, 4);
-	token->minted_ms = (uint32_t)v;
-	p = get_number(p, &token->instance, 8);
-	(void)get_number(p, &token->flow, 8);
+	decode(p, token);
 	return PLUG_OK;
 }
--- a/libplantainlug/token.h
+++ b/libplantainlug/token.h
@@ -42,5 +42,7 @@
     const struct plug_token_keys *keys, uint8_t wire[PLUG_TOKEN_SIZE]);
 enum plug_code plug_token_open(const uint8_t wire[PLUG_TOKEN_SIZE],
     const struct plug_token_keys *keys, struct plug_token *token);
+bool
+plug_token_peek(const uint8_t wire[PLUG_TOKEN_SIZE], struct plug_token *token);
 
 #endif
