--- a/libplantainlug/explain_flow.c
+++ b/libplantainlug/explain_flow.c
@@ -17,7 +17,7 @@
 /* Events of processes that may explain what happened to a flow. */
 static const char *const context[] = { "listening", "stopping", "stopped",
 	"leaving", "domain_out", "domain_in", "restart_detected",
-	"upstream_lost", "unconfirmed", "refused" };
+	"upstream_closed", "upstream_lost", "unconfirmed", "refused" };
 
 static bool
 of_flow(const struct plug_explain *explain, const struct plug_logline *line)
@@ -132,11 +132,26 @@
 		   has(record, "verdict", "taken"));
 }
 
+/* Another service has taken the address of the owner. Its agent answers "flow
+ * lost" without a record of the flow, and logs only some of these answers. */
+static bool
+is_reuse(const struct life *life, const struct plug_explain_record *record)
+{
+	return plug_explain_is(record, "listening") && life->address.len > 0 &&
+	       life->service.len > 0 && record->line.time > life->since &&
+	       plug_str_equal(get(record, "address"), life->address) &&
+	       !plug_str_equal(get(record, "service"), life->service);
+}
+
 /* The flow ended for its caller. */
 static bool
 is_break(const struct life *life, const struct plug_explain_record *record)
 {
-	if (plug_explain_is(record, "domain_out"))
+	if (is_reuse(life, record))
+		return true;
+	if (plug_explain_is(record, "domain_out") ||
+	    (plug_explain_is(record, "stopped") &&
+		has(record, "reason", "no_sibling")))
 		return life->owner.len > 0 &&
 		       plug_str_equal(record->line.name, life->owner);
 	if (!of_flow(life->explain, &record->line))
@@ -172,11 +187,7 @@
 
 		if (record->line.time > to)
 			break;
-		if (record->line.time > life->since && life->address.len > 0 &&
-		    life->service.len > 0 &&
-		    plug_explain_is(record, "listening") &&
-		    plug_str_equal(get(record, "address"), life->address) &&
-		    !plug_str_equal(get(record, "service"), life->service))
+		if (is_reuse(life, record))
 			return record;
 	}
 	return NULL;
@@ -257,7 +268,10 @@
 	if (plug_explain_is(symptom, "domain_out") ||
 	    has(symptom, "reason", "domain_out"))
 		blame(cause, "domain_out", symptom);
-	else if (plug_explain_is(symptom, "foreign"))
+	else if (plug_explain_is(symptom, "stopped"))
+		blame(cause, "stopped_with_flows", symptom);
+	else if (plug_explain_is(symptom, "foreign") ||
+		 plug_explain_is(symptom, "listening"))
 		blame(cause, "address_reused", symptom);
 	else if (plug_explain_is(symptom, "move"))
 		explain_lost_move(life, cause);
@@ -275,13 +289,18 @@
 explain_upstream(const struct life *life, struct cause *cause)
 {
 	plug_time end = cause->symptom->line.time;
+	plug_time from = end - COLD_LOOKBACK;
 	struct plug_str node = cause->symptom->line.name;
+	const struct plug_explain_record *closed =
+	    last_of(life, node, "upstream_closed", from, end);
 	const struct plug_explain_record *lost =
-	    last_of(life, node, "upstream_lost", end - COLD_LOOKBACK, end);
+	    last_of(life, node, "upstream_lost", from, end);
 	const struct plug_explain_record *cold =
-	    last_of(life, node, "restart_detected", end - COLD_LOOKBACK, end);
+	    last_of(life, node, "restart_detected", from, end);
 
-	if (lost != NULL && has(lost, "reason", "silent"))
+	if (closed != NULL && has(closed, "reason", "silent"))
+		blame(cause, "upstream_silent", closed);
+	else if (lost != NULL && has(lost, "reason", "silent"))
 		blame(cause, "upstream_silent", lost);
 	else if (lost != NULL && has(lost, "reason", "request_stuck"))
 		blame(cause, "upstream_stuck", lost);
@@ -306,7 +325,7 @@
 		return false;
 	start =
 	    last_of(life, pause->line.name, "listening", 0, pause->line.time);
-	if (plug_str_equal(pause->line.name, cause->symptom->line.name))
+	if (plug_str_equal(pause->line.name, life->owner))
 		blame(cause, "agent_paused", pause);
 	else if (start == NULL || has(start, "role", "entry"))
 		blame(cause, "entry_paused", pause);
@@ -334,12 +353,33 @@
 	return "request_failed";
 }
 
+/* Watching entries refuse a document for the whole fleet, so the refusal is
+ * looked for at any process. */
+static const struct plug_explain_record *
+refusal_of(const struct life *life, plug_time from, plug_time to)
+{
+	char key[PLUG_LOG_LINE_MAX];
+
+	(void)snprintf(key, sizeof(key), "service/%.*s", (int)life->service.len,
+	    life->service.data);
+	for (size_t i = 0; i < life->explain->count; i++) {
+		const struct plug_explain_record *record =
+		    &life->explain->records[i];
+
+		if (record->line.time >= from && record->line.time <= to &&
+		    plug_explain_is(record, "refused") &&
+		    has(record, "key", key))
+			return record;
+	}
+	return NULL;
+}
+
 static void
 explain_failure(const struct life *life, struct cause *cause)
 {
 	const struct plug_explain_record *symptom = cause->symptom;
 	const struct plug_explain_record *refused =
-	    last_of(life, symptom->line.name, "refused", 0, symptom->line.time);
+	    refusal_of(life, 0, symptom->line.time);
 
 	cause->effect = plug_explain_is(symptom, "unknown") ? "request_unknown"
 							    : "request_refused";
@@ -358,7 +398,8 @@
 	blame(cause, refusal_name(symptom), symptom);
 }
 
-/* Nothing of the flow failed; a pause or a refused document is still told. */
+/* Nothing of the flow failed; what slowed it down or was refused while it lived
+ * is still told. */
 static bool
 explain_delay(const struct life *life, struct cause *cause)
 {
@@ -367,6 +408,14 @@
 	const struct plug_explain_record *record;
 
 	cause->effect = "delay";
+	record = life->owner.len == 0
+		     ? NULL
+		     : last_of(life, life->owner, "restart_detected",
+			   life->since, INT64_MAX);
+	if (record != NULL) {
+		cause->symptom = record;
+		return explain_upstream(life, cause);
+	}
 	record = last_of(life, PLUG_STR(""), "unconfirmed", from, to);
 	if (record != NULL) {
 		cause->symptom = record;
@@ -374,7 +423,7 @@
 			return true;
 	}
 	cause->effect = "none";
-	record = last_of(life, PLUG_STR(""), "refused", from, to);
+	record = refusal_of(life, from, INT64_MAX);
 	if (record == NULL)
 		return false;
 	cause->symptom = record;
--- a/libplantainlug/explain_traffic.c
+++ b/libplantainlug/explain_traffic.c
@@ -57,9 +57,9 @@
 	return false;
 }
 
-/* Name of a domain; the hash itself when no log names it. */
-static const char *
-domain_name(const struct plug_explain *explain, const char *domain)
+/* Replaces a hash by the name of the domain when a log names it. */
+static void
+resolve_domain(const struct plug_explain *explain, char domain[DOMAIN_SIZE])
 {
 	size_t len = strlen(domain);
 
@@ -67,33 +67,41 @@
 		const char *key = explain->domains.entries[i].key;
 
 		if (strncmp(key, domain, len) == 0 && key[len] == ' ')
-			return key + len + 1;
+			(void)snprintf(
+			    domain, DOMAIN_SIZE, "%s", key + len + 1);
 	}
-	return domain;
 }
 
 struct sum {
 	char service[PLUG_NAME_SIZE];
-	const char *from;
-	const char *to;
+	char from[DOMAIN_SIZE];
+	char to[DOMAIN_SIZE];
 	char cause[PLUG_NAME_SIZE];
-	char from_text[DOMAIN_SIZE];
-	char to_text[DOMAIN_SIZE];
 	uint64_t bytes;
 	uint64_t packets;
 };
 
+static bool
+is_unknown(const struct sum *sum)
+{
+	return strcmp(sum->to, "unknown") == 0;
+}
+
+static bool
+crosses(const struct sum *sum)
+{
+	return !is_unknown(sum) && strcmp(sum->from, sum->to) != 0;
+}
+
 /* Sums that cross domains first, then the larger ones. */
 static int
 compare_sums(const void *a, const void *b)
 {
 	const struct sum *x = a;
 	const struct sum *y = b;
-	bool x_crosses = strcmp(x->from, x->to) != 0;
-	bool y_crosses = strcmp(y->from, y->to) != 0;
 
-	if (x_crosses != y_crosses)
-		return x_crosses ? -1 : 1;
+	if (crosses(x) != crosses(y))
+		return crosses(x) ? -1 : 1;
 	if (x->bytes != y->bytes)
 		return x->bytes > y->bytes ? -1 : 1;
 	return 0;
@@ -110,9 +118,9 @@
 		struct sum *sum = &sums[i];
 
 		(void)sscanf(entry->key, "%63s %79s %79s %63s", sum->service,
-		    sum->from_text, sum->to_text, sum->cause);
-		sum->from = domain_name(explain, sum->from_text);
-		sum->to = domain_name(explain, sum->to_text);
+		    sum->from, sum->to, sum->cause);
+		resolve_domain(explain, sum->from);
+		resolve_domain(explain, sum->to);
 		sum->bytes = entry->amount;
 		sum->packets = entry->count;
 	}
@@ -130,7 +138,7 @@
     const struct plug_explain_output *output)
 {
 	size_t count = explain->tally.used;
-	uint64_t crossing = 0, inside = 0;
+	uint64_t crossing = 0, inside = 0, unknown = 0;
 	struct sum *sums;
 
 	if (count == 0)
@@ -141,21 +149,25 @@
 	qsort(sums, count, sizeof(*sums), compare_sums);
 	for (size_t i = 0; i < count; i++) {
 		const struct sum *sum = &sums[i];
-		bool crosses = strcmp(sum->from, sum->to) != 0;
 
-		*(crosses ? &crossing : &inside) += sum->bytes;
+		if (is_unknown(sum))
+			unknown += sum->bytes;
+		else if (crosses(sum))
+			crossing += sum->bytes;
+		else
+			inside += sum->bytes;
 		plug_explain_row(output,
 		    "event=traffic_sum service=%s from_domain=%s to_domain=%s "
 		    "cause=%s bytes=%llu packets=%llu crosses=%d",
 		    sum->service, sum->from, sum->to, sum->cause,
 		    (unsigned long long)sum->bytes,
-		    (unsigned long long)sum->packets, crosses);
+		    (unsigned long long)sum->packets, crosses(sum));
 	}
 	plug_explain_row(output,
 	    "event=summary crossing_bytes=%llu inside_bytes=%llu "
-	    "largest_cause=%s largest_service=%s",
+	    "unknown_bytes=%llu largest_cause=%s largest_service=%s",
 	    (unsigned long long)crossing, (unsigned long long)inside,
-	    crossing > 0 ? sums[0].cause : "none",
+	    (unsigned long long)unknown, crossing > 0 ? sums[0].cause : "none",
 	    crossing > 0 ? sums[0].service : "none");
 	free(sums);
 	return true;
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -90,6 +90,8 @@
 {
 	if (domain == plug_domain_hash(plug_str_from(place->domain)))
 		(void)snprintf(buf, PLUG_NAME_SIZE, "%s", place->domain);
+	else if (domain == 0)
+		(void)snprintf(buf, PLUG_NAME_SIZE, "unknown");
 	else
 		(void)snprintf(buf, PLUG_NAME_SIZE, "#%08x", domain);
 }
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -155,7 +155,8 @@
 END_TEST
 
 /* Guards against counters that are reported twice, and against domains that are
- * shown by their hash although a log names them. */
+ * shown by their hash although a log names them. Several sums guard against
+ * names that stay behind when the sums are ordered. */
 START_TEST(sums_up_traffic)
 {
 	const struct plug_explain_query query = { .kind =
@@ -165,6 +166,12 @@
 		AT("01") "name=b event=listening role=entry domain=east",
 		AT("02") "name=a event=traffic service=s from_domain=west "
 			 "to_domain=west cause=answer bytes=900 packets=9",
+		AT("02") "name=b event=traffic service=s from_domain=east "
+			 "to_domain=west cause=answer bytes=800 packets=9",
+		AT("02") "name=b event=traffic service=a from_domain=east "
+			 "to_domain=east cause=move bytes=7 packets=1",
+		AT("02") "name=b event=traffic service=- from_domain=east "
+			 "to_domain=unknown cause=control bytes=5 packets=1",
 		AT("03") "name=a event=traffic service=s from_domain=west "
 			 "to_domain=east cause=request bytes=50 packets=1" };
 
@@ -172,13 +179,21 @@
 	    AT("00") "name=a event=traffic service=s from_domain=west "
 		     "to_domain=#%08x cause=request bytes=100 packets=2",
 	    plug_domain_hash(PLUG_STR("east")));
-	ck_assert(explain(&query, lines, 4, report));
+	ck_assert(explain(&query, lines, 7, report));
 	ck_assert_ptr_nonnull(strstr(report,
 	    "from_domain=west to_domain=east cause=request bytes=100 "
 	    "packets=2 crosses=1\n"));
-	ck_assert_ptr_nonnull(
-	    strstr(report, "event=summary crossing_bytes=150 inside_bytes=900 "
-			   "largest_cause=request largest_service=s\n"));
+	ck_assert_ptr_nonnull(strstr(report,
+	    "from_domain=east to_domain=west cause=answer bytes=800 "
+	    "packets=9 crosses=1\n"));
+	ck_assert_ptr_nonnull(strstr(report,
+	    "from_domain=east to_domain=east cause=move bytes=7 packets=1 "
+	    "crosses=0\n"));
+	ck_assert_msg(
+	    strstr(report, "event=summary crossing_bytes=950 inside_bytes=907 "
+			   "unknown_bytes=5 largest_cause=answer "
+			   "largest_service=s\n") != NULL,
+	    "%s", report);
 }
 END_TEST
 
