--- a/cli/explain.c
+++ b/cli/explain.c
@@ -209,38 +209,27 @@
 int
 plug_cli_explain(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_str *from =
-	    arg_str0(NULL, "from", "TIME", "first time of interest");
+	    arg_str0(NULL, "from", "TIME", "first time, for host");
 	struct arg_str *to =
-	    arg_str0(NULL, "to", "TIME", "last time of interest");
-	struct arg_str *words =
-	    arg_strn(NULL, NULL, "flow ID|host NAME|traffic [FILE...]", 1,
-		FILES_MAX + 2, "question and logs; - is standard input");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { help, json, from, to, words, end };
+	    arg_str0(NULL, "to", "TIME", "last time, for host");
+	struct arg_str *words = arg_strn(NULL, NULL, "WORD", 1, FILES_MAX + 2,
+	    "flow ID [FILE...], host NAME [FILE...] or traffic [FILE...]; "
+	    "FILE - is standard input");
+	void *table[] = { json, from, to, words, arg_end(8) };
 	struct plug_explain_query query = { 0 };
-	int result = PLUG_EXIT_USAGE;
-	int errors, used;
-
-	if (arg_nullcheck(table) != 0)
-		return PLUG_EXIT_FAILURE;
-	errors = arg_parse(argc, argv, table);
-	if (help->count > 0) {
-		(void)printf("%s", usage);
-		result = PLUG_EXIT_OK;
-	} else if (errors > 0) {
-		arg_print_errors(stderr, end, argv[0]);
-		(void)fprintf(stderr, "%s", usage);
-	} else if (!read_query(words, from, to, &query, &used)) {
-		(void)fprintf(stderr,
-		    "explain: the question is not complete\n"
-		    "%s",
-		    usage);
-	} else {
-		result = explain_files(&query, (char **)words->sval + used,
-		    words->count - used, json->count > 0);
+	int result, used;
+
+	if (plug_arguments_parse(argc, argv, table, &result)) {
+		if (read_query(words, from, to, &query, &used)) {
+			result =
+			    explain_files(&query, (char **)words->sval + used,
+				words->count - used, json->count > 0);
+		} else {
+			(void)fprintf(stderr, "%s", usage);
+			result = PLUG_EXIT_USAGE;
+		}
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return result;
--- a/libplantainlug/explain_flow.c
+++ b/libplantainlug/explain_flow.c
@@ -8,6 +8,10 @@
  * upstream usually takes less than a minute. */
 #define COLD_LOOKBACK (60 * PLUG_SEC)
 
+/* A silent connection is noticed only after a while, in which requests that
+ * wait may already miss their deadline. */
+#define SILENCE_LOOKAHEAD (4 * PLUG_SEC)
+
 /* A request's deadline is at most this long after a pause that delayed it, for
  * the operations that callers wait on. */
 #define PAUSE_LOOKBACK (10 * PLUG_SEC)
@@ -285,23 +289,38 @@
 		explain_owner(life, cause);
 }
 
+/* A connection that was found silent around a time: by the driver or by the
+ * agent, whichever was first. */
+static const struct plug_explain_record *
+silence_of(const struct life *life, struct plug_str node, plug_time end)
+{
+	static const char *const events[] = { "upstream_closed",
+		"upstream_lost" };
+
+	for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
+		const struct plug_explain_record *record = last_of(life, node,
+		    events[i], end - COLD_LOOKBACK, end + SILENCE_LOOKAHEAD);
+
+		if (record != NULL && has(record, "reason", "silent"))
+			return record;
+	}
+	return NULL;
+}
+
 static bool
 explain_upstream(const struct life *life, struct cause *cause)
 {
 	plug_time end = cause->symptom->line.time;
 	plug_time from = end - COLD_LOOKBACK;
 	struct plug_str node = cause->symptom->line.name;
-	const struct plug_explain_record *closed =
-	    last_of(life, node, "upstream_closed", from, end);
+	const struct plug_explain_record *silent = silence_of(life, node, end);
 	const struct plug_explain_record *lost =
 	    last_of(life, node, "upstream_lost", from, end);
 	const struct plug_explain_record *cold =
 	    last_of(life, node, "restart_detected", from, end);
 
-	if (closed != NULL && has(closed, "reason", "silent"))
-		blame(cause, "upstream_silent", closed);
-	else if (lost != NULL && has(lost, "reason", "silent"))
-		blame(cause, "upstream_silent", lost);
+	if (silent != NULL)
+		blame(cause, "upstream_silent", silent);
 	else if (lost != NULL && has(lost, "reason", "request_stuck"))
 		blame(cause, "upstream_stuck", lost);
 	else if (cold != NULL)
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -91,6 +91,7 @@
 		encode(NULL, 0);
 		verdict = decide();
 		ck_assert_int_eq(verdict.reason, PLUG_ROUTE_OPEN_LOCAL);
+		ck_assert_uint_eq(verdict.domain, OWN_DOMAIN);
 		ck_assert_uint_lt(verdict.target.port, 1002);
 		first += verdict.target.port == 1000;
 	}
@@ -109,6 +110,7 @@
 	encode(NULL, 0);
 	verdict = decide();
 	ck_assert_int_eq(verdict.reason, PLUG_ROUTE_OPEN_REMOTE);
+	ck_assert_uint_eq(verdict.domain, OTHER_DOMAIN); /* billed there */
 	service.document.domains_out[0] = OTHER_DOMAIN;
 	service.document.domain_out_count = 1;
 	encode(NULL, 0);
@@ -154,6 +156,7 @@
 	encode(&token, 2);
 	verdict = decide();
 	ck_assert_int_eq(verdict.reason, PLUG_ROUTE_OWNER_GONE);
+	ck_assert_uint_eq(verdict.domain, ranked[0]->domain);
 	ck_assert(plug_endpoint_equal(verdict.target, ranked[0]->endpoint));
 	ck_assert(!plug_endpoint_equal(verdict.target, token.agent));
 	encode(&token, 3);
