--- a/net/agentd.c
+++ b/net/agentd.c
@@ -51,7 +51,7 @@
 	struct plug_datagram *fabric;
 	struct plug_upstream *upstream;
 	struct plug_pause pause;
-	struct plug_traffic *bytes;
+	struct plug_bytecount *bytes;
 	struct plug_view *view; /* the agent's view, for the domains */
 	plug_time now;
 	plug_time next_tick;
@@ -83,10 +83,10 @@
 	    answer ? plug_domain_hash(plug_str_from(settings->domain)) : 0;
 
 	if (!answer)
-		(void)plug_traffic_domain(
+		(void)plug_bytecount_domain(
 		    agentd->view, action->datagram.target, &domain);
-	plug_traffic_count(agentd->bytes, settings->service_id, domain,
-	    answer ? PLUG_TRAFFIC_ANSWER : PLUG_TRAFFIC_FORWARD,
+	plug_bytecount_count(agentd->bytes, settings->service_id, domain,
+	    answer ? PLUG_BYTECOUNT_ANSWER : PLUG_BYTECOUNT_FORWARD,
 	    PLUG_GRE_SIZE + action->datagram.len);
 }
 
@@ -326,7 +326,7 @@
 	return n > 0 && (size_t)n < size - len ? len + (size_t)n : len;
 }
 
-static struct plug_traffic *
+static struct plug_bytecount *
 thread_traffic(void *data, unsigned int thread)
 {
 	struct agentd *agentd = data;
--- a/net/traffic.c
+++ b/net/bytecount.c
@@ -1,13 +1,13 @@
 #include <stdio.h>
 
-#include "traffic.h"
+#include "bytecount.h"
 
 #define HASH_FACTOR 0x9e3779b97f4a7c15ULL /* 2^64 over the golden ratio */
-#define HASH_SHIFT  51			  /* leaves log2(PLUG_TRAFFIC_PAIRS) */
-#define KEY_USED    (1ULL << 63)	  /* above any service id */
+#define HASH_SHIFT  51		 /* leaves log2(PLUG_BYTECOUNT_PAIRS) */
+#define KEY_USED    (1ULL << 63) /* above any service id */
 #define PROBES_MAX  64 /* slots looked at for a pair; bounds the work */
 
-_Static_assert(PLUG_TRAFFIC_PAIRS == 1ULL << (64 - HASH_SHIFT),
+_Static_assert(PLUG_BYTECOUNT_PAIRS == 1ULL << (64 - HASH_SHIFT),
     "the hash covers the table");
 
 /* Only the counting thread writes, so a load and a store are enough. */
@@ -20,7 +20,7 @@
 }
 
 /**
- * plug_traffic_count() - count a packet
+ * plug_bytecount_count() - count a packet
  * @traffic: counters of the calling thread
  * @service: service id, 0 for control that belongs to none
  * @domain: hash of the name of the domain that it is sent to
@@ -28,15 +28,15 @@
  * @bytes: length of the datagram or frame, without UDP and IP headers
  */
 void
-plug_traffic_count(struct plug_traffic *traffic, uint32_t service,
-    uint32_t domain, enum plug_traffic_cause cause, size_t bytes)
+plug_bytecount_count(struct plug_bytecount *traffic, uint32_t service,
+    uint32_t domain, enum plug_bytecount_cause cause, size_t bytes)
 {
 	uint64_t key = KEY_USED | (uint64_t)service << 32 | domain;
 	size_t slot = (size_t)(key * HASH_FACTOR >> HASH_SHIFT);
 
 	for (unsigned int i = 0; i < PROBES_MAX; i++) {
-		struct plug_traffic_pair *pair =
-		    &traffic->pairs[(slot + i) % PLUG_TRAFFIC_PAIRS];
+		struct plug_bytecount_pair *pair =
+		    &traffic->pairs[(slot + i) % PLUG_BYTECOUNT_PAIRS];
 		uint64_t held =
 		    atomic_load_explicit(&pair->key, memory_order_relaxed);
 
@@ -55,19 +55,19 @@
 static const char *
 cause_name(unsigned int cause)
 {
-	static const char *const names[PLUG_TRAFFIC_CAUSE_COUNT] = {
-		[PLUG_TRAFFIC_REQUEST] = "request",
-		[PLUG_TRAFFIC_FORWARD] = "forward",
-		[PLUG_TRAFFIC_ANSWER] = "answer",
-		[PLUG_TRAFFIC_MOVE] = "move",
-		[PLUG_TRAFFIC_CONTROL] = "control",
+	static const char *const names[PLUG_BYTECOUNT_CAUSE_COUNT] = {
+		[PLUG_BYTECOUNT_REQUEST] = "request",
+		[PLUG_BYTECOUNT_FORWARD] = "forward",
+		[PLUG_BYTECOUNT_ANSWER] = "answer",
+		[PLUG_BYTECOUNT_MOVE] = "move",
+		[PLUG_BYTECOUNT_CONTROL] = "control",
 	};
 
 	return names[cause];
 }
 
 static void
-format_service(const struct plug_traffic_place *place, uint32_t id,
+format_service(const struct plug_bytecount_place *place, uint32_t id,
     char buf[PLUG_NAME_SIZE])
 {
 	const struct plug_service *service = plug_view_service(place->view, id);
@@ -85,7 +85,7 @@
 
 /* Other domains are known by the hash of their names only. */
 static void
-format_domain(const struct plug_traffic_place *place, uint32_t domain,
+format_domain(const struct plug_bytecount_place *place, uint32_t domain,
     char buf[PLUG_NAME_SIZE])
 {
 	if (domain == plug_domain_hash(plug_str_from(place->domain)))
@@ -97,8 +97,9 @@
 }
 
 static void
-report_count(struct plug_traffic_count *count, uint64_t key, unsigned int cause,
-    const struct plug_traffic_place *place, struct plug_log *log)
+report_count(struct plug_bytecount_count *count, uint64_t key,
+    unsigned int cause, const struct plug_bytecount_place *place,
+    struct plug_log *log)
 {
 	uint64_t bytes =
 	    atomic_load_explicit(&count->bytes, memory_order_relaxed);
@@ -121,7 +122,7 @@
 }
 
 /**
- * plug_traffic_report() - log what was counted since the last report
+ * plug_bytecount_report() - log what was counted since the last report
  * @traffic: counters of the threads
  * @count: length of @traffic
  * @place: names for the lines
@@ -131,19 +132,20 @@
  * one thread may report.
  */
 void
-plug_traffic_report(struct plug_traffic *const *traffic, unsigned int count,
-    const struct plug_traffic_place *place, struct plug_log *log)
+plug_bytecount_report(struct plug_bytecount *const *traffic, unsigned int count,
+    const struct plug_bytecount_place *place, struct plug_log *log)
 {
 	uint64_t uncounted = 0;
 
 	for (unsigned int i = 0; i < count; i++) {
-		for (size_t j = 0; j < PLUG_TRAFFIC_PAIRS; j++) {
-			struct plug_traffic_pair *pair = &traffic[i]->pairs[j];
+		for (size_t j = 0; j < PLUG_BYTECOUNT_PAIRS; j++) {
+			struct plug_bytecount_pair *pair =
+			    &traffic[i]->pairs[j];
 			uint64_t key = atomic_load_explicit(
 			    &pair->key, memory_order_acquire);
 
 			for (unsigned int cause = 0;
-			     key != 0 && cause < PLUG_TRAFFIC_CAUSE_COUNT;
+			     key != 0 && cause < PLUG_BYTECOUNT_CAUSE_COUNT;
 			     cause++)
 				report_count(&pair->counts[cause], key, cause,
 				    place, log);
@@ -171,7 +173,7 @@
 }
 
 /**
- * plug_traffic_domain() - domain of the process at an address
+ * plug_bytecount_domain() - domain of the process at an address
  * @view: view, or NULL
  * @endpoint: address
  * @domain: hash of the domain's name; left alone when it isn't known
@@ -180,8 +182,8 @@
  * is for control messages and not for each packet of an entry.
  */
 bool
-plug_traffic_domain(const struct plug_view *view, struct plug_endpoint endpoint,
-    uint32_t *domain)
+plug_bytecount_domain(const struct plug_view *view,
+    struct plug_endpoint endpoint, uint32_t *domain)
 {
 	if (view == NULL)
 		return false;
--- a/net/control.c
+++ b/net/control.c
@@ -17,7 +17,7 @@
 	uint8_t *frame;
 	size_t len;
 	bool answered;
-	enum plug_traffic_cause cause;
+	enum plug_bytecount_cause cause;
 };
 
 /**
@@ -53,7 +53,7 @@
 }
 
 /* Reports and what goes to entries are control; the rest moves flows. */
-static enum plug_traffic_cause
+static enum plug_bytecount_cause
 message_cause(const Plug__Message *message)
 {
 	switch (message->body_case) {
@@ -63,9 +63,9 @@
 	case PLUG__MESSAGE__BODY_COMMITTED:
 	case PLUG__MESSAGE__BODY_ABORT:
 	case PLUG__MESSAGE__BODY_COMPLETION:
-		return PLUG_TRAFFIC_MOVE;
+		return PLUG_BYTECOUNT_MOVE;
 	default:
-		return PLUG_TRAFFIC_CONTROL;
+		return PLUG_BYTECOUNT_CONTROL;
 	}
 }
 
@@ -73,13 +73,13 @@
  * counted under the domain 0. */
 static void
 count_frame(struct plug_control *control, struct plug_endpoint target,
-    enum plug_traffic_cause cause, size_t len)
+    enum plug_bytecount_cause cause, size_t len)
 {
 	const struct plug_settings *settings = control->settings;
 	uint32_t domain = 0;
 
-	(void)plug_traffic_domain(control->view, target, &domain);
-	plug_traffic_count(control->traffic,
+	(void)plug_bytecount_domain(control->view, target, &domain);
+	plug_bytecount_count(control->traffic,
 	    settings->role == PLUG_ROLE_AGENT ? settings->service_id : 0,
 	    domain, cause, len);
 }
@@ -430,20 +430,20 @@
  * plug_control_report_traffic() - log the traffic since the last report
  * @control: control
  *
- * The control thread calls it once in PLUG_TRAFFIC_INTERVAL by itself; a role
+ * The control thread calls it once in PLUG_BYTECOUNT_INTERVAL by itself; a role
  * calls it once more after its traffic threads have ended.
  */
 void
 plug_control_report_traffic(struct plug_control *control)
 {
 	const struct plug_settings *settings = control->settings;
-	const struct plug_traffic_place place = {
+	const struct plug_bytecount_place place = {
 		.domain = settings->domain,
 		.service =
 		    settings->role == PLUG_ROLE_AGENT ? settings->service : "",
 		.view = control->view,
 	};
-	struct plug_traffic *traffic[PLUG_THREADS_MAX + 1] = {
+	struct plug_bytecount *traffic[PLUG_THREADS_MAX + 1] = {
 		control->traffic
 	};
 	unsigned int count = 1;
@@ -452,7 +452,7 @@
 	       (traffic[count] = control->hooks.traffic(
 		    control->hooks.data, count - 1)) != NULL)
 		count++;
-	plug_traffic_report(traffic, count, &place, control->log);
+	plug_bytecount_report(traffic, count, &place, control->log);
 }
 
 /**
@@ -469,9 +469,9 @@
 	atomic_store(
 	    &control->confirmed, plug_node_confirmed(control->node, now));
 	if (control->next_traffic == 0)
-		control->next_traffic = now + PLUG_TRAFFIC_INTERVAL;
+		control->next_traffic = now + PLUG_BYTECOUNT_INTERVAL;
 	if (now >= control->next_traffic) {
-		control->next_traffic = now + PLUG_TRAFFIC_INTERVAL;
+		control->next_traffic = now + PLUG_BYTECOUNT_INTERVAL;
 		plug_control_report_traffic(control);
 	}
 	drain_outbox(control, true);
--- a/net/control.h
+++ b/net/control.h
@@ -9,7 +9,7 @@
 #include "mailbox.h"
 #include "peer.h"
 #include "platform.h"
-#include "traffic.h"
+#include "bytecount.h"
 
 #define PLUG_TICK_GAP_MAX (500 * PLUG_MSEC) /* design 4.6 */
 
@@ -25,7 +25,7 @@
 	void (*view)(void *data, struct plug_view *view);
 	bool (*message)(void *data, Plug__Message *message);
 	size_t (*status)(void *data, char *buf, size_t size);
-	struct plug_traffic *(*traffic)(void *data, unsigned int thread);
+	struct plug_bytecount *(*traffic)(void *data, unsigned int thread);
 	void *data;
 };
 
@@ -61,7 +61,7 @@
 	struct plug_mailbox outbox;
 	atomic_uint_fast64_t outbox_dropped;
 	struct plug_view *view;
-	struct plug_traffic *traffic;
+	struct plug_bytecount *traffic;
 	plug_time next_traffic;
 	_Atomic(plug_time) last_tick;
 	atomic_bool confirmed;
--- a/net/entryd.c
+++ b/net/entryd.c
@@ -40,7 +40,7 @@
 	struct plug_router router;
 	struct plug_view *view;
 	struct plug_pause pause;
-	struct plug_traffic *bytes;
+	struct plug_bytecount *bytes;
 	uint64_t packets;
 	uint64_t pause_dropped;
 	_Atomic(struct plug_view *) incoming;
@@ -103,13 +103,14 @@
 	plug_router_decide(&traffic->router, view, packet, len, &verdict);
 	switch (verdict.kind) {
 	case PLUG_VERDICT_FORWARD:
-		plug_traffic_count(traffic->bytes, verdict.service,
-		    verdict.domain, PLUG_TRAFFIC_REQUEST, PLUG_GRE_SIZE + len);
+		plug_bytecount_count(traffic->bytes, verdict.service,
+		    verdict.domain, PLUG_BYTECOUNT_REQUEST,
+		    PLUG_GRE_SIZE + len);
 		plug_datagram_forward(traffic->datagram, index, verdict.target);
 		break;
 	case PLUG_VERDICT_REPLY:
-		plug_traffic_count(traffic->bytes, verdict.service,
-		    traffic->router.domain, PLUG_TRAFFIC_ANSWER,
+		plug_bytecount_count(traffic->bytes, verdict.service,
+		    traffic->router.domain, PLUG_BYTECOUNT_ANSWER,
 		    PLUG_GRE_SIZE + verdict.reply_len);
 		plug_datagram_send(traffic->datagram, settings->fabric,
 		    verdict.reply, verdict.reply_len);
@@ -212,7 +213,7 @@
 	return len;
 }
 
-static struct plug_traffic *
+static struct plug_bytecount *
 thread_traffic(void *data, unsigned int thread)
 {
 	struct entryd *entryd = data;
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -5,7 +5,7 @@
 
 #include "libplantainlug/document.h"
 #include "libplantainlug/explain.h"
-#include "net/traffic.h"
+#include "net/bytecount.h"
 #include "suites.h"
 
 #define REPORT_SIZE 8192 /* bytes of a whole report */
@@ -200,8 +200,8 @@
 /* Guards against traffic that is counted for another service or twice. */
 START_TEST(counts_traffic)
 {
-	const struct plug_traffic_place place = { "west", "", NULL };
-	struct plug_traffic *traffic = calloc(1, sizeof(*traffic));
+	const struct plug_bytecount_place place = { "west", "", NULL };
+	struct plug_bytecount *traffic = calloc(1, sizeof(*traffic));
 	char path[] = "/tmp/plantainlug-traffic-XXXXXX";
 	char text[REPORT_SIZE] = "";
 	struct plug_log *log;
@@ -211,12 +211,12 @@
 	ck_assert(traffic != NULL && fd >= 0);
 	log = plug_log_create("e", path, PLUG_LOG_INFO, NULL);
 	ck_assert_ptr_nonnull(log);
-	plug_traffic_count(traffic, 7, 5, PLUG_TRAFFIC_REQUEST, 100);
-	plug_traffic_count(traffic, 0, 0, PLUG_TRAFFIC_CONTROL, 10);
-	plug_traffic_report(&traffic, 1, &place, log);
-	plug_traffic_count(traffic, 7, 5, PLUG_TRAFFIC_REQUEST, 23);
-	plug_traffic_report(&traffic, 1, &place, log);
-	plug_traffic_report(&traffic, 1, &place, log);
+	plug_bytecount_count(traffic, 7, 5, PLUG_BYTECOUNT_REQUEST, 100);
+	plug_bytecount_count(traffic, 0, 0, PLUG_BYTECOUNT_CONTROL, 10);
+	plug_bytecount_report(&traffic, 1, &place, log);
+	plug_bytecount_count(traffic, 7, 5, PLUG_BYTECOUNT_REQUEST, 23);
+	plug_bytecount_report(&traffic, 1, &place, log);
+	plug_bytecount_report(&traffic, 1, &place, log);
 	plug_log_destroy(log);
 	file = fdopen(fd, "r");
 	ck_assert_ptr_nonnull(file);
