--- a/net/entryd.c
+++ b/net/entryd.c
@@ -1,49 +1,25 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "clock.h"
 #include "control.h"
 #include "datagram.h"
 #include "entryd.h"
-#include "libplantainlug/router.h"
-#include "pause.h"
 #include "stop.h"
+#include "traffic.h"
 
 #define RECEIVE_WAIT  100 /* milliseconds without a datagram */
 #define BIND_ATTEMPTS 16  /* ephemeral ports tried for TCP and UDP together */
 #define DRAIN_ROUNDS  256 /* batches read after a stop was requested */
 
-enum thread_counter {
-	COUNT_PACKETS,
-	COUNT_BAD_GRE,
-	COUNT_SEND_LOST,
-	COUNT_PAUSE_DROPPED,
-	COUNT_ROUTES, /* first of PLUG_ROUTE_REASON_COUNT */
-	COUNT_ALL = COUNT_ROUTES + PLUG_ROUTE_REASON_COUNT,
-};
-
 struct entryd;
 
-/*
- * A traffic thread. incoming hands over one reference to a view: the control
- * thread stores it and the traffic thread exchanges it for NULL, so whoever
- * takes a pointer out owns its reference and no thread waits.
- */
-struct traffic {
+struct thread {
 	struct entryd *entryd;
 	pthread_t thread;
 	bool started;
-	struct plug_datagram *datagram;
-	struct plug_client client;
-	struct plug_router router;
-	struct plug_view *view;
-	struct plug_pause pause;
-	uint64_t packets;
-	uint64_t pause_dropped;
-	_Atomic(struct plug_view *) incoming;
-	atomic_uint_fast64_t counters[COUNT_ALL]; /* copies for the status */
+	struct plug_traffic traffic;
 };
 
 struct entryd {
@@ -51,105 +27,20 @@
 	const struct plug_settings *settings;
 	atomic_bool stopping;
 	unsigned int thread_count;
-	struct traffic threads[PLUG_THREADS_MAX];
+	struct thread threads[PLUG_THREADS_MAX];
 };
 
-static void
-collect_view(struct traffic *traffic)
-{
-	struct plug_view *view;
-
-	if (atomic_load_explicit(&traffic->incoming, memory_order_relaxed) ==
-	    NULL)
-		return;
-	view = atomic_exchange(&traffic->incoming, NULL);
-	if (view == NULL)
-		return;
-	plug_view_release(traffic->view);
-	traffic->view = view;
-}
-
-static void
-publish_counter(struct traffic *traffic, unsigned int counter, uint64_t value)
-{
-	atomic_store_explicit(
-	    &traffic->counters[counter], value, memory_order_relaxed);
-}
-
-static void
-publish_counters(struct traffic *traffic)
-{
-	publish_counter(traffic, COUNT_PACKETS, traffic->packets);
-	publish_counter(traffic, COUNT_BAD_GRE, traffic->datagram->bad);
-	publish_counter(traffic, COUNT_SEND_LOST, traffic->datagram->lost);
-	publish_counter(traffic, COUNT_PAUSE_DROPPED, traffic->pause_dropped);
-	for (unsigned int i = 0; i < PLUG_ROUTE_REASON_COUNT; i++)
-		publish_counter(
-		    traffic, COUNT_ROUTES + i, traffic->router.counters[i]);
-}
-
-static void
-route_packet(
-    struct traffic *traffic, const struct plug_view *view, unsigned int index)
-{
-	const struct plug_settings *settings = traffic->entryd->settings;
-	struct plug_verdict verdict;
-	size_t len;
-	uint8_t *packet = plug_datagram_packet(traffic->datagram, index, &len);
-
-	if (packet == NULL)
-		return;
-	plug_router_decide(&traffic->router, view, packet, len, &verdict);
-	switch (verdict.kind) {
-	case PLUG_VERDICT_FORWARD:
-		plug_datagram_forward(traffic->datagram, index, verdict.target);
-		break;
-	case PLUG_VERDICT_REPLY:
-		plug_datagram_send(traffic->datagram, settings->fabric,
-		    verdict.reply, verdict.reply_len);
-		break;
-	case PLUG_VERDICT_DROP:
-		break;
-	}
-}
-
-/*
- * The control thread stores a view before it confirms it, so the view is
- * collected after the check: a confirmed batch never meets the older view. A
- * batch that was decided before a pause is not sent after it.
- */
-static unsigned int
-handle_batch(struct traffic *traffic, bool wait)
-{
-	unsigned int count = plug_datagram_receive(traffic->datagram, wait);
-	plug_time now = plug_clock_now();
-	bool usable = plug_control_usable(&traffic->entryd->control, now);
-	bool old = plug_pause_check(&traffic->pause, now, count);
-
-	collect_view(traffic);
-	traffic->packets += count;
-	if (old)
-		traffic->pause_dropped += count;
-	for (unsigned int i = 0; i < count && !old; i++)
-		route_packet(traffic, usable ? traffic->view : NULL, i);
-	if (count > 0 && plug_clock_now() - now > PLUG_TICK_GAP_MAX)
-		plug_datagram_discard(traffic->datagram);
-	plug_datagram_flush(traffic->datagram);
-	publish_counters(traffic);
-	return count;
-}
-
 static void *
 run_traffic(void *data)
 {
-	struct traffic *traffic = data;
+	struct thread *thread = data;
 
-	plug_pause_init(&traffic->pause, plug_clock_now());
+	plug_pause_init(&thread->traffic.pause, plug_clock_now());
 	while (!atomic_load_explicit(
-	    &traffic->entryd->stopping, memory_order_relaxed))
-		(void)handle_batch(traffic, true);
+	    &thread->entryd->stopping, memory_order_relaxed))
+		(void)plug_traffic_step(&thread->traffic, true);
 	for (int i = 0; i < DRAIN_ROUNDS; i++) {
-		if (handle_batch(traffic, false) == 0)
+		if (plug_traffic_step(&thread->traffic, false) == 0)
 			break;
 	}
 	return NULL;
@@ -161,26 +52,7 @@
 	struct entryd *entryd = data;
 
 	for (unsigned int i = 0; i < entryd->thread_count; i++)
-		plug_view_release(atomic_exchange(
-		    &entryd->threads[i].incoming, plug_view_reference(view)));
-}
-
-static const char *
-counter_name(unsigned int counter)
-{
-	switch (counter) {
-	case COUNT_PACKETS:
-		return "packets";
-	case COUNT_BAD_GRE:
-		return "bad_gre";
-	case COUNT_SEND_LOST:
-		return "send_lost";
-	case COUNT_PAUSE_DROPPED:
-		return "pause_dropped";
-	default:
-		return plug_route_reason_name(
-		    (enum plug_route_reason)(counter - COUNT_ROUTES));
-	}
+		plug_traffic_offer(&entryd->threads[i].traffic, view);
 }
 
 static size_t
@@ -189,16 +61,16 @@
 	struct entryd *entryd = data;
 	size_t len = 0;
 
-	for (unsigned int i = 0; i < COUNT_ALL; i++) {
+	for (unsigned int i = 0; i < PLUG_TRAFFIC_COUNTERS; i++) {
 		unsigned long long sum = 0;
 		int n;
 
 		for (unsigned int j = 0; j < entryd->thread_count; j++)
-			sum += atomic_load_explicit(
-			    &entryd->threads[j].counters[i],
-			    memory_order_relaxed);
+			sum +=
+			    plug_traffic_count(&entryd->threads[j].traffic, i);
 		n = snprintf(buf + len, size - len, "%s%s=%llu\n",
-		    i >= COUNT_ROUTES ? "route_" : "", counter_name(i), sum);
+		    i >= PLUG_TRAFFIC_ROUTES ? "route_" : "",
+		    plug_traffic_counter_name(i), sum);
 		if (n < 0 || (size_t)n >= size - len)
 			break;
 		len += (size_t)n;
@@ -210,8 +82,8 @@
 close_sockets(struct entryd *entryd)
 {
 	for (unsigned int i = 0; i < entryd->thread_count; i++) {
-		plug_datagram_destroy(entryd->threads[i].datagram);
-		entryd->threads[i].datagram = NULL;
+		plug_datagram_destroy(entryd->threads[i].traffic.datagram);
+		entryd->threads[i].traffic.datagram = NULL;
 	}
 }
 
@@ -219,10 +91,10 @@
 open_sockets(struct entryd *entryd, struct plug_status *status)
 {
 	for (unsigned int i = 0; i < entryd->thread_count; i++) {
-		entryd->threads[i].datagram =
+		entryd->threads[i].traffic.datagram =
 		    plug_datagram_create(entryd->control.endpoint,
 			entryd->thread_count > 1, RECEIVE_WAIT, status);
-		if (entryd->threads[i].datagram == NULL) {
+		if (entryd->threads[i].traffic.datagram == NULL) {
 			close_sockets(entryd);
 			return status->code;
 		}
@@ -257,17 +129,18 @@
 start_threads(struct entryd *entryd, struct plug_status *status)
 {
 	for (unsigned int i = 0; i < entryd->thread_count; i++) {
-		struct traffic *traffic = &entryd->threads[i];
+		struct thread *thread = &entryd->threads[i];
 
-		traffic->entryd = entryd;
-		plug_control_seed(&traffic->client, entryd->control.log);
-		plug_router_init(&traffic->router, &traffic->client,
+		thread->entryd = entryd;
+		plug_control_seed(&thread->traffic.client, entryd->control.log);
+		plug_traffic_init(&thread->traffic, &entryd->control,
+		    entryd->settings->fabric,
 		    plug_domain_hash(plug_str_from(entryd->settings->domain)));
 		if (pthread_create(
-			&traffic->thread, NULL, run_traffic, traffic) != 0)
+			&thread->thread, NULL, run_traffic, thread) != 0)
 			return plug_status_set(status, PLUG_E_LIBRARY,
 			    "traffic thread can't be started");
-		traffic->started = true;
+		thread->started = true;
 	}
 	return PLUG_OK;
 }
@@ -277,12 +150,11 @@
 {
 	atomic_store(&entryd->stopping, true);
 	for (unsigned int i = 0; i < entryd->thread_count; i++) {
-		struct traffic *traffic = &entryd->threads[i];
+		struct thread *thread = &entryd->threads[i];
 
-		if (traffic->started)
-			(void)pthread_join(traffic->thread, NULL);
-		plug_view_release(traffic->view);
-		plug_view_release(atomic_exchange(&traffic->incoming, NULL));
+		if (thread->started)
+			(void)pthread_join(thread->thread, NULL);
+		plug_traffic_finish(&thread->traffic);
 	}
 }
 
