Add benchmarks of latency, agent and capacity; hash a digest once

An entry answers the digests of all agents, and each cost as much as a digest over all of its keys: keys outside the scope were hashed and then left out, and the digest was calculated once to compare and once more to answer. Out of scope keys are now skipped before hashing, and the compared hash is sent.

bench_latency, bench_agent: one hop, requests, ticks, moves. capacity_entry, capacity_agent: cost by services, hosts, entries and flows. capacity_fleet: control bytes of entries and agents at several fleet sizes, quiet and in bursts, with real node code in simulated time. make bench-capacity runs these. The common parts are bench/path.c, bench/config.c and bench/rig.c.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 CLI_SOURCES = $(wildcard cli/*.c)
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
 BENCH_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
+CAPACITY_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/capacity_*.c))
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
 FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c
 HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
@@ -44,7 +45,9 @@
 	$(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $$(pkg-config --libs check)
 
-$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/common.o \
+BENCH_OBJECTS = $(call objects,bench/common.c bench/config.c bench/path.c \
+	bench/rig.c)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_OBJECTS) \
 	$(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -80,6 +83,9 @@
 bench: $(addprefix $(BUILD)/bench/,$(BENCH_NAMES))
 	for name in $(BENCH_NAMES); do $(BUILD)/bench/$$name || exit 1; done
 
+bench-capacity: $(addprefix $(BUILD)/bench/,$(CAPACITY_NAMES))
+	for name in $(CAPACITY_NAMES); do $(BUILD)/bench/$$name || exit 1; done
+
 format:
 	clang-format -i $(HAND_WRITTEN)
 
@@ -104,5 +110,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all bench check clean format format-check fuzzers generate install-packages \
+.PHONY: all bench bench-capacity check clean format format-check fuzzers generate install-packages \
 	lint run sanitized
--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -15,18 +15,16 @@
 #include <unistd.h>
 
 #include "common.h"
-#include "libplantainlug/token.h"
 #include "net/clock.h"
 #include "net/traffic.h"
+#include "path.h"
 
-#define ROUNDS	       7
+#define ROUNDS	       9
 #define PHASE_PERIODS  8     /* each phase takes this many PERIOD_USEC */
 #define PERIOD_USEC    50000 /* between refreshes of the control tick */
 #define RECEIVE_WAIT   20    /* milliseconds */
 #define THREADS_MAX    4
 #define SOURCES	       16   /* sockets of a sender, spread by SO_REUSEPORT */
-#define SERVICES       330  /* design section 2 */
-#define HOSTS	       13   /* agents of one service: 4,300 over 330 */
 #define POOL	       4096 /* prepared packets */
 #define NEW_FLOWS      5000 /* opening flows a second, design section 2 */
 #define OPEN_EVERY_MIN 16   /* packets for each opening flow at the least */
@@ -43,11 +41,6 @@
 	double cpu;
 };
 
-struct packet {
-	size_t len;
-	uint8_t bytes[PLUG_GRE_SIZE + PLUG_PACKET_MAX];
-};
-
 static const unsigned int thread_counts[] = { 1, 2, 4 };
 static const char *const variant_names[] = { "bare", "entry", "silent",
 	"logged" };
@@ -57,95 +50,13 @@
 static struct plug_view *view;
 static struct plug_log *decision_log;
 static struct plug_endpoint sink, target;
-static struct packet owned[POOL], opening[POOL];
+static struct path_packet owned[POOL], opening[POOL];
 static atomic_uint open_every; /* 0: no opening flows */
 static atomic_bool stopping, phase_over;
 static struct plug_datagram *sink_socket;
 static struct bench_samples samples;
 static double rates[VARIANTS][ROUNDS], cpu_rates[VARIANTS][ROUNDS];
 
-static struct plug_datagram *
-open_socket(struct plug_endpoint local, bool shared)
-{
-	struct plug_datagram *datagram =
-	    plug_datagram_create(local, shared, RECEIVE_WAIT, NULL);
-
-	if (datagram == NULL) {
-		perror("socket");
-		exit(1);
-	}
-	return datagram;
-}
-
-static uint16_t
-bound_port(const struct plug_datagram *datagram)
-{
-	struct sockaddr_in bound = { 0 };
-	socklen_t len = sizeof(bound);
-
-	if (getsockname(datagram->fd, (struct sockaddr *)&bound, &len) != 0)
-		abort();
-	return ntohs(bound.sin_port);
-}
-
-/* Every host is one address of the loopback network; one socket reads all. */
-static struct plug_endpoint
-host_endpoint(unsigned int service, unsigned int host)
-{
-	return (struct plug_endpoint){
-		INADDR_LOOPBACK + 1 + service * HOSTS + host, sink.port
-	};
-}
-
-static void
-create_view(void)
-{
-	view = plug_view_create(SERVICES, 0);
-	for (unsigned int i = 0; i < SERVICES; i++) {
-		struct plug_service *service = &view->services[i];
-
-		service->document.service = i + 1;
-		service->document.address.address = 0x0a000000 + i;
-		service->document.address.port = 80;
-		service->document.token_keys.count = 1;
-		service->member_count = HOSTS;
-		service->members = calloc(HOSTS, sizeof(*service->members));
-		for (unsigned int j = 0; j < HOSTS; j++) {
-			service->members[j].endpoint = host_endpoint(i, j);
-			service->members[j].domain = j % 9;
-		}
-	}
-}
-
-static void
-create_packet(struct packet *packet, uint32_t flow, bool opens)
-{
-	unsigned int index = flow % SERVICES, host = flow / SERVICES % HOSTS;
-	const struct plug_service *service = &view->services[index];
-	struct plug_call call = {
-		.caller = { 0xc0000000 + flow, 1000 },
-		.service = service->document.address,
-		.ttl = PLUG_INITIAL_TTL,
-		.xid = 1,
-		.program = service->document.service,
-		.procedure = opens ? PLUG_PROCEDURE_NULL : 1,
-		.has_token = !opens,
-		.body = PLUG_STR("0123456789abcdef0123456789abcdef"),
-	};
-	struct plug_token token = {
-		.service = service->document.service,
-		.agent = service->members[host].endpoint,
-		.domain = service->members[host].domain,
-		.flow = flow * 0x9e3779b97f4a7c15ULL,
-	};
-
-	plug_token_seal(&token, &service->document.token_keys, call.token);
-	plug_gre_encode(packet->bytes);
-	packet->len =
-	    PLUG_GRE_SIZE + plug_packet_encode_call(&call,
-				packet->bytes + PLUG_GRE_SIZE, PLUG_PACKET_MAX);
-}
-
 static void *
 run_sink(void *data)
 {
@@ -185,9 +96,10 @@
 		unsigned int every = atomic_load(&open_every);
 
 		for (int i = 0; i < BATCH; i++) {
-			struct packet *pool =
+			struct path_packet *pool =
 			    every > 0 && ++sent % every == 0 ? opening : owned;
-			struct packet *packet = &pool[nrand48(random) % POOL];
+			struct path_packet *packet =
+			    &pool[nrand48(random) % POOL];
 
 			vectors[i].iov_base = packet->bytes;
 			vectors[i].iov_len = packet->len;
@@ -199,33 +111,6 @@
 	return NULL;
 }
 
-/* Forwards without looking into the packets, to the same addresses. */
-static unsigned int
-step_bare(struct plug_datagram *datagram, unsigned int *next)
-{
-	struct plug_datagram_batch *received = &datagram->received;
-	struct plug_datagram_batch *queued = &datagram->queued;
-	struct sockaddr_in address = { .sin_family = AF_INET,
-		.sin_port = htons(sink.port) };
-	int n = recvmmsg(
-	    datagram->fd, received->messages, BATCH, MSG_WAITFORONE, NULL);
-
-	for (int i = 0; i < n; i++) {
-		*next = (*next + 1) % (SERVICES * HOSTS);
-		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1 + *next);
-		queued->addresses[i] = address;
-		queued->vectors[i].iov_base = received->buffers[i];
-		queued->vectors[i].iov_len = received->messages[i].msg_len;
-	}
-	for (int done = 0; done < n;) {
-		int sent = sendmmsg(datagram->fd, queued->messages + done,
-		    (unsigned int)(n - done), MSG_DONTWAIT);
-
-		done += sent > 0 ? sent : 1;
-	}
-	return n > 0 ? (unsigned int)n : 0;
-}
-
 static double
 thread_cpu(void)
 {
@@ -244,9 +129,10 @@
 	unsigned int next = 0;
 
 	while (!atomic_load_explicit(&phase_over, memory_order_relaxed))
-		forwarder->packets += forwarder->variant == BARE
-					  ? step_bare(traffic->datagram, &next)
-					  : plug_traffic_step(traffic, true);
+		forwarder->packets +=
+		    forwarder->variant == BARE
+			? path_step_bare(traffic->datagram, sink.port, &next)
+			: plug_traffic_step(traffic, true);
 	forwarder->cpu = thread_cpu() - start;
 	return NULL;
 }
@@ -265,8 +151,8 @@
 
 	memset(forwarder, 0, sizeof(*forwarder));
 	forwarder->variant = variant;
-	traffic->datagram = open_socket(target, shared);
-	target.port = bound_port(traffic->datagram);
+	traffic->datagram = path_socket(target, shared, RECEIVE_WAIT);
+	target.port = path_port(traffic->datagram);
 	traffic->client = client;
 	if (variant == LOGGED) {
 		traffic->client.log = plug_log_write;
@@ -360,13 +246,21 @@
 
 	for (unsigned int round = 0; round < ROUNDS; round++) {
 		atomic_store(&open_every, 0);
-		(void)measure(BARE, threads, round);
+		if (round % 2 == 0)
+			(void)measure(BARE, threads, round);
 		(void)measure(ENTRY, threads, round);
+		if (round % 2 != 0)
+			(void)measure(BARE, threads, round);
 		every = (unsigned int)(rates[ENTRY][round] / NEW_FLOWS);
 		atomic_store(&open_every,
 		    every < OPEN_EVERY_MIN ? OPEN_EVERY_MIN : every);
-		(void)measure(SILENT, threads, round);
+		/* The order alternates, as a load that drifts would favor one
+		 * of them. */
+		if (round % 2 == 0)
+			(void)measure(SILENT, threads, round);
 		lines += measure(LOGGED, threads, round) / ROUNDS;
+		if (round % 2 != 0)
+			(void)measure(SILENT, threads, round);
 	}
 	print_ratio("wall", rates, ENTRY, BARE, threads, 0.8, 0);
 	print_ratio("cpu", cpu_rates, ENTRY, BARE, threads, 0.8, 0);
@@ -388,14 +282,14 @@
 	if (decision_log == NULL)
 		return 1;
 	atomic_store(&control.confirmed, true);
-	sink_socket =
-	    open_socket((struct plug_endpoint){ INADDR_ANY, 0 }, false);
-	sink.port = bound_port(sink_socket);
+	sink_socket = path_socket(
+	    (struct plug_endpoint){ INADDR_ANY, 0 }, false, RECEIVE_WAIT);
+	sink.port = path_port(sink_socket);
 	sink.address = INADDR_LOOPBACK;
-	create_view();
+	view = path_view_create(sink.port);
 	for (uint32_t i = 0; i < POOL; i++) {
-		create_packet(&owned[i], i, false);
-		create_packet(&opening[i], i, true);
+		path_packet_create(&owned[i], view, i, false);
+		path_packet_create(&opening[i], view, i, true);
 	}
 	start_thread(&thread, run_sink, sink_socket);
 	for (size_t i = 0; i < sizeof(thread_counts) / sizeof(thread_counts[0]);
--- a/libplantainlug/gossip.c
+++ b/libplantainlug/gossip.c
@@ -49,11 +49,11 @@
 
 static void
 send_digest(struct plug_gossip *gossip, struct plug_endpoint target,
-    const char *service, uint32_t scope, bool answer)
+    uint64_t hash, uint32_t scope, bool answer)
 {
 	Plug__Digest digest = PLUG__DIGEST__INIT;
 
-	digest.hash = plug_catalog_digest(&gossip->catalog, service);
+	digest.hash = hash;
 	digest.scope = scope;
 	digest.answer = answer;
 	send_message(gossip, target, PLUG__MESSAGE__BODY_DIGEST, &digest);
@@ -416,15 +416,15 @@
     struct plug_endpoint from)
 {
 	const char *service = scope_service(gossip, digest->scope);
-	bool equal;
+	uint64_t hash;
 
 	/* An unconfirmed process can't tell which side is behind. */
 	if (service == NULL || gossip->inquiry.open)
 		return;
-	equal = digest->hash == plug_catalog_digest(&gossip->catalog, service);
-	if (equal && !digest->answer)
-		send_digest(gossip, from, service, digest->scope, true);
-	else if (!equal)
+	hash = plug_catalog_digest(&gossip->catalog, service);
+	if (digest->hash == hash && !digest->answer)
+		send_digest(gossip, from, hash, digest->scope, true);
+	else if (digest->hash != hash)
 		send_some(gossip, from, service, digest->scope);
 }
 
@@ -593,9 +593,12 @@
 static void
 send_digests(struct plug_gossip *gossip, plug_time now)
 {
+	uint64_t hash;
+
 	if (now < gossip->next_digest || gossip->inquiry.open)
 		return;
 	gossip->next_digest = now + DIGEST_INTERVAL;
+	hash = plug_catalog_digest(&gossip->catalog, gossip->catalog.service);
 	for (unsigned int i = 0; i < DIGEST_PEERS; i++) {
 		/* An agent's first digest goes to an entry, since its siblings
 		 * depend on the same entries. */
@@ -608,7 +611,7 @@
 		if (peer == NULL)
 			continue;
 		plug_peer_asked(peer, now);
-		send_digest(gossip, peer->endpoint, gossip->catalog.service,
+		send_digest(gossip, peer->endpoint, hash,
 		    gossip->config.service, false);
 	}
 }
--- a/libplantainlug/keystore.c
+++ b/libplantainlug/keystore.c
@@ -194,11 +194,14 @@
 
 	for (unsigned int i = 0; i < store->count; i++) {
 		const struct plug_key_entry *entry = &store->entries[i];
-		uint64_t item[2] = { plug_str_hash(entry->key),
-			entry->version };
-
-		if (in_scope(entry->key, scope))
-			digest = XXH64(item, sizeof(item), digest);
+		uint64_t item[2];
+
+		/* Most keys of an entry are outside the scope of an agent. */
+		if (!in_scope(entry->key, scope))
+			continue;
+		item[0] = plug_str_hash(entry->key);
+		item[1] = entry->version;
+		digest = XXH64(item, sizeof(item), digest);
 	}
 	return digest;
 }
