Look up the owner in the instance list only for later transmissions

A decision for a packet of an open flow searched the service's instance list for the owner, although the first two transmissions go to the owner in any case. It now follows the check of the attempt; the decisions are the same.

capacity_agent prints the size of a REPORT, capacity_fleet the most calls of the configuration service in one second.

--- a/bench/capacity_agent.c
+++ b/bench/capacity_agent.c
@@ -142,6 +142,11 @@
 			bench_samples_add(
 			    &samples[REPORT], time_report(sibling));
 	}
+	/* Reports are the only control messages while nothing moves. */
+	(void)printf("event=capacity name=agent figure=report flows=%u "
+		     "messages=%llu bytes_per_message=%.1f\n",
+	    sizes[s], (unsigned long long)sibling->peer_messages,
+	    (double)sibling->peer_bytes / (double)sibling->peer_messages);
 	for (unsigned int round = 0; round < OPEN_ROUNDS; round++)
 		bench_samples_add(&samples[OPEN], time_opens(rig));
 	for (int f = HEARTBEAT; f < FIGURES; f++) {
--- a/bench/capacity_fleet.c
+++ b/bench/capacity_fleet.c
@@ -76,7 +76,8 @@
 static struct queue queue;
 static uint64_t service_calls;
 static uint64_t answers; /* by the configuration service */
-static bool apart;	 /* the last region is out of contact */
+static unsigned int second_calls[SECONDS_MAX];
+static bool apart; /* the last region is out of contact */
 
 static bool
 is_apart(unsigned int number)
@@ -148,6 +149,13 @@
 	enqueue(target, -1, len, bytes);
 }
 
+static void
+count_call(void)
+{
+	service_calls++;
+	second_calls[now / PLUG_SEC]++;
+}
+
 static void
 on_emit(void *data, const struct plug_action *action)
 {
@@ -160,7 +168,7 @@
 		return;
 	case PLUG_ACTION_WATCH:
 		value = bench_config_find(&config, action->watch.key);
-		service_calls++;
+		count_call();
 		if (value < 0)
 			return;
 		process->index[value] = action->watch.index + 1;
@@ -216,7 +224,7 @@
 		return;
 	/* The driver asks again from the version that it has received. */
 	process->index[place] = value->version + 1;
-	service_calls++;
+	count_call();
 	answers++;
 	event.value.key = plug_str_from(value->key);
 	event.value.version = value->version;
@@ -361,6 +369,7 @@
 	bench_config_init(
 	    &config, (unsigned int)(ENTRIES * scale), services, HOSTS);
 	now = PLUG_SEC;
+	memset(second_calls, 0, sizeof(second_calls));
 	count = config.entries + services * HOSTS;
 	processes = calloc(count, sizeof(*processes));
 	if (processes == NULL)
@@ -495,7 +504,7 @@
 {
 	long long in_force;
 	unsigned int first = (unsigned int)(now / PLUG_SEC);
-	unsigned int watches = 0;
+	unsigned int watches = 0, worst = 0;
 
 	for (unsigned int i = 0; i < count; i++) {
 		processes[i].bytes = processes[i].messages = 0;
@@ -507,6 +516,10 @@
 		for (unsigned int j = 0; j < config.count; j++)
 			watches += processes[i].index[j] != 0;
 	}
+	for (unsigned int i = first; i < first + seconds; i++) {
+		if (second_calls[i] > worst)
+			worst = second_calls[i];
+	}
 	for (int agents = 0; agents < 2; agents++) {
 		struct figures *figures = &results[phase][agents][scale];
 
@@ -523,11 +536,13 @@
 		    figures->cpu, figures->behind);
 	}
 	(void)printf("event=capacity name=fleet phase=%s role=config_service "
-		     "entries=%u watches=%u calls=%llu answers=%llu "
+		     "entries=%u watches=%u calls=%llu "
+		     "worst_second_calls=%u answers=%llu "
 		     "seconds=%u renewals_per_sec=%.1f in_force_ms=%lld\n",
 	    phase_names[phase], config.entries, watches,
-	    (unsigned long long)service_calls, (unsigned long long)answers,
-	    seconds, watches / WATCH_SECONDS, in_force);
+	    (unsigned long long)service_calls, worst,
+	    (unsigned long long)answers, seconds, watches / WATCH_SECONDS,
+	    in_force);
 	(void)fflush(stdout);
 }
 
--- a/libplantainlug/router.c
+++ b/libplantainlug/router.c
@@ -111,10 +111,14 @@
     const struct plug_token *token, struct plug_verdict *verdict)
 {
 	const struct plug_member *ranked[PLUG_RANK_DEPTH];
-	bool listed = plug_service_member(service, token->agent) != NULL;
+	bool listed;
 
-	if (call->attempt < OWNER_ONLY_ATTEMPTS ||
-	    (listed && call->attempt % 2 != 0)) {
+	if (call->attempt < OWNER_ONLY_ATTEMPTS) {
+		forward(verdict, PLUG_ROUTE_OWNER, token->agent);
+		return;
+	}
+	listed = plug_service_member(service, token->agent) != NULL;
+	if (listed && call->attempt % 2 != 0) {
 		forward(verdict, PLUG_ROUTE_OWNER, token->agent);
 		return;
 	}
