--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 CLI_SOURCES = $(wildcard cli/*.c)
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
 BENCH_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
+CAPACITY_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/capacity_*.c))
 SCENARIO_SOURCES = $(wildcard tests/scenario/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
 FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c
@@ -50,7 +51,9 @@
 	$(BUILD)/standins/callerflow.o
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/common.o \
+BENCH_OBJECTS = $(call objects,bench/common.c bench/config.c bench/path.c \
+	bench/rig.c)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_OBJECTS) \
 	$(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -83,8 +86,13 @@
 check: all sanitized fuzzers
 	tests/run $(BUILD) $(SANITIZE_BUILD)
 
-bench: $(addprefix $(BUILD)/bench/,$(BENCH_NAMES))
+BENCH_SEEDS ?= 20
+bench: $(addprefix $(BUILD)/bench/,$(BENCH_NAMES)) $(BUILD)/scenario
 	for name in $(BENCH_NAMES); do $(BUILD)/bench/$$name || exit 1; done
+	bench/scenario_seeds $(BUILD) $(BENCH_SEEDS)
+
+bench-capacity: $(addprefix $(BUILD)/bench/,$(CAPACITY_NAMES))
+	for name in $(CAPACITY_NAMES); do $(BUILD)/bench/$$name || exit 1; done
 
 # Product against baseline on the same scenarios and seeds.
 measure: $(BUILD)/scenario
@@ -114,5 +122,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all bench check clean format format-check fuzzers generate install-packages \
-	lint measure run sanitized
+.PHONY: all bench bench-capacity check clean format format-check fuzzers \
+	generate install-packages lint measure run sanitized
--- a/net/agentd.c
+++ b/net/agentd.c
@@ -85,7 +85,7 @@
 	if (!answer)
 		(void)plug_bytecount_domain(
 		    agentd->view, action->datagram.target, &domain);
-	plug_bytecount_count(agentd->bytes, settings->service_id, domain,
+	plug_bytecount_add(agentd->bytes, settings->service_id, domain,
 	    answer ? PLUG_BYTECOUNT_ANSWER : PLUG_BYTECOUNT_FORWARD,
 	    PLUG_GRE_SIZE + action->datagram.len);
 }
--- a/net/bytecount.c
+++ b/net/bytecount.c
@@ -20,7 +20,7 @@
 }
 
 /**
- * plug_bytecount_count() - count a packet
+ * plug_bytecount_add() - count a packet
  * @traffic: counters of the calling thread
  * @service: service id, 0 for control that belongs to none
  * @domain: hash of the name of the domain that it is sent to
@@ -28,7 +28,7 @@
  * @bytes: length of the datagram or frame, without UDP and IP headers
  */
 void
-plug_bytecount_count(struct plug_bytecount *traffic, uint32_t service,
+plug_bytecount_add(struct plug_bytecount *traffic, uint32_t service,
     uint32_t domain, enum plug_bytecount_cause cause, size_t bytes)
 {
 	uint64_t key = KEY_USED | (uint64_t)service << 32 | domain;
--- a/net/bytecount.h
+++ b/net/bytecount.h
@@ -62,7 +62,7 @@
 	const struct plug_view *view;
 };
 
-void plug_bytecount_count(struct plug_bytecount *traffic, uint32_t service,
+void plug_bytecount_add(struct plug_bytecount *traffic, uint32_t service,
     uint32_t domain, enum plug_bytecount_cause cause, size_t bytes);
 void
 plug_bytecount_report(struct plug_bytecount *const *traffic, unsigned int count,
--- a/net/control.c
+++ b/net/control.c
@@ -79,7 +79,7 @@
 	uint32_t domain = 0;
 
 	(void)plug_bytecount_domain(control->view, target, &domain);
-	plug_bytecount_count(control->traffic,
+	plug_bytecount_add(control->traffic,
 	    settings->role == PLUG_ROLE_AGENT ? settings->service_id : 0,
 	    domain, cause, len);
 }
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -211,10 +211,10 @@
 	ck_assert(traffic != NULL && fd >= 0);
 	log = plug_log_create("e", path, PLUG_LOG_INFO, NULL);
 	ck_assert_ptr_nonnull(log);
-	plug_bytecount_count(traffic, 7, 5, PLUG_BYTECOUNT_REQUEST, 100);
-	plug_bytecount_count(traffic, 0, 0, PLUG_BYTECOUNT_CONTROL, 10);
+	plug_bytecount_add(traffic, 7, 5, PLUG_BYTECOUNT_REQUEST, 100);
+	plug_bytecount_add(traffic, 0, 0, PLUG_BYTECOUNT_CONTROL, 10);
 	plug_bytecount_report(&traffic, 1, &place, log);
-	plug_bytecount_count(traffic, 7, 5, PLUG_BYTECOUNT_REQUEST, 23);
+	plug_bytecount_add(traffic, 7, 5, PLUG_BYTECOUNT_REQUEST, 23);
 	plug_bytecount_report(&traffic, 1, &place, log);
 	plug_bytecount_report(&traffic, 1, &place, log);
 	plug_log_destroy(log);
