--- a/tests/scenario/callers.c
+++ b/tests/scenario/callers.c
@@ -62,7 +62,6 @@
 	struct caller *caller = data;
 	struct request *request = &world.requests[result->tag];
 	plug_time wait = result->retry_after_ms * PLUG_MSEC;
-	struct event *again;
 	size_t len;
 
 	trace("caller%d event=settled outcome=%s request=%llu", caller->index,
@@ -79,12 +78,12 @@
 		    memcmp(right, result->answer.data, len) != 0;
 	} else if (result->outcome == PLUG_CALLERFLOW_NOT_RUN) {
 		request->end = END_NOT_RUN;
+		world.figures.false_refusals += request->runs > 0;
 		wait = wait > 0 ? wait : RETRY_DEFAULT;
 		request->retried = world.now + wait < request->deadline;
-		again = event_new(EV_SUBMIT, caller->index, 0);
-		again->a = result->tag + 1;
 		if (request->retried)
-			event_at(again, wait);
+			event_new(wait, EV_SUBMIT, caller->index, 0)->a =
+			    result->tag + 1;
 	}
 }
 
@@ -101,7 +100,11 @@
 	for (int i = 0; i < PLUG_TOKEN_KEY_SIZE - 1; i++)
 		keys.keys[0][i] = (uint8_t)i;
 	keys.keys[0][PLUG_TOKEN_KEY_SIZE - 1] = (uint8_t)caller->service;
-	(void)plug_token_open(caller->flow.token, &keys, &token);
+	if (world.baseline) /* its token is the instance id in the clear */
+		memcpy(&token.instance, caller->flow.token,
+		    sizeof(token.instance));
+	else
+		(void)plug_token_open(caller->flow.token, &keys, &token);
 	trace("caller%d event=broken reason=%s flow=%016llx instance=%016llx",
 	    caller->index, plug_callerflow_reason_name(reason),
 	    (unsigned long long)token.flow, (unsigned long long)token.instance);
@@ -112,9 +115,8 @@
 		if (world.processes[i].instance == token.instance &&
 		    process_out(&world.processes[i]))
 			figure = &world.figures.lost_with_domain;
-	if (reason == PLUG_CALLERFLOW_NO_OPEN)
-		figure = &world.figures.failed_opens;
-	(*figure)++;
+	if (reason != PLUG_CALLERFLOW_NO_OPEN)
+		(*figure)++;
 }
 
 static void
@@ -124,7 +126,6 @@
 	struct plug_endpoint address = caller->flow.caller;
 
 	address.port++;
-	world.figures.renewals++;
 	plug_callerflow_set_caller(&caller->flow, address);
 }
 
@@ -146,11 +147,11 @@
 	caller->handler = (struct plug_callerflow_handler){ caller, send_packet,
 		settled, broken, renew_port };
 	caller->reopen = true;
-	event_at(event_new(EV_CALLER_TICK, caller->index, 0),
-	    FIRST_CALL + from + seconds(uniform()));
-	event_at(event_new(EV_SUBMIT, caller->index, 0),
-	    FIRST_CALL + from + 2 * PLUG_SEC +
-		(plug_time)(uniform() * (double)every));
+	(void)event_new(FIRST_CALL + from + seconds(uniform()), EV_CALLER_TICK,
+	    caller->index, 0);
+	(void)event_new(FIRST_CALL + from + 2 * PLUG_SEC +
+			    (plug_time)(uniform() * (double)every),
+	    EV_SUBMIT, caller->index, 0);
 }
 
 static void
@@ -179,8 +180,9 @@
 		request->deadline =
 		    world.now + (request->operation == BULK ? BULK_DEADLINE
 							    : SHORT_DEADLINE);
-		event_at(event_new(EV_SUBMIT, caller->index, 0),
-		    (plug_time)((0.5 + uniform()) * (double)caller->every));
+		(void)event_new(
+		    (plug_time)((0.5 + uniform()) * (double)caller->every),
+		    EV_SUBMIT, caller->index, 0);
 	}
 	request->end = END_NONE;
 	if (caller->flow.state != PLUG_CALLERFLOW_OPEN ||
--- a/tests/scenario/main.c
+++ b/tests/scenario/main.c
@@ -1,7 +1,11 @@
-#include <math.h>
+#include <getopt.h>
 
 #include "world.h"
 
+static const char usage[] =
+    "usage: scenario [--seeds A-B] [--trace] [--values] [--measure] "
+    "[--baseline] FILE\n";
+
 /* Distance by which a value misses its bound; not positive when it holds. */
 static double
 excess(const struct expectation *expect, double value)
@@ -60,49 +64,33 @@
 main(int argc, char **argv)
 {
 	static struct world blank;
-	const char *file = NULL;
+	int values = 0, measure = 0, traced = 0, baseline = 0, option, lines;
+	const struct option options[] = {
+		{ "seeds", required_argument, NULL, 's' },
+		{ "values", no_argument, &values, 1 },
+		{ "measure", no_argument, &measure, 1 },
+		{ "trace", no_argument, &traced, 1 },
+		{ "baseline", no_argument, &baseline, 1 },
+		{ NULL, 0, NULL, 0 },
+	};
 	unsigned long long from = 1, to = 1;
 	unsigned int failed = 0;
-	bool values = false, measure = false, bad = false;
-	int lines;
 
 	(void)apr_initialize();
-	for (int i = 1; i < argc; i++) {
-		const char *value = i + 1 < argc ? argv[i + 1] : "";
-
-		if (strcmp(argv[i], "--trace") == 0)
-			blank.trace = true;
-		else if (strcmp(argv[i], "--values") == 0)
-			values = true;
-		else if (strcmp(argv[i], "--measure") == 0)
-			measure = true;
-		else if (strcmp(argv[i], "--policy") == 0 && ++i)
-			blank.baseline = strcmp(value, "baseline") == 0;
-		else if (strncmp(argv[i], "--seed", 6) == 0 && ++i) {
-			if (sscanf(value, "%llu-%llu", &from, &to) == 1)
-				to = from;
-		} else if (strcmp(argv[i], "--record") == 0 && ++i)
-			blank.record = fopen(value, "w");
-		else if (strcmp(argv[i], "--process") == 0 && ++i)
-			blank.record_name = value;
-		else if (strcmp(argv[i], "--replay") == 0)
-			return process_replay(value);
-		else if (argv[i][0] != '-')
-			file = argv[i];
-		else
-			bad = true;
+	while ((option = getopt_long(argc, argv, "", options, NULL)) != -1) {
+		if (option == 's' &&
+		    sscanf(optarg, "%llu-%llu", &from, &to) == 1)
+			to = from;
+		if (option == '?')
+			optind = argc;
 	}
-	if (bad || file == NULL ||
-	    (blank.record == NULL) != (blank.record_name == NULL)) {
-		(void)fputs(
-		    "usage: scenario FILE [--seeds A-B | --seed N] "
-		    "[--trace] [--values] [--measure] [--policy baseline]\n"
-		    "           [--record OUT --process NAME]\n"
-		    "       scenario --replay FILE\n",
-		    stderr);
+	if (optind != argc - 1) {
+		(void)fputs(usage, stderr);
 		return 2;
 	}
-	lines = script_load(file);
+	blank.trace = traced;
+	blank.baseline = baseline;
+	lines = script_load(argv[optind]);
 	for (unsigned long long seed = from; seed <= to; seed++) {
 		world = blank;
 		world.seed = seed;
@@ -112,12 +100,15 @@
 		const struct expectation *expect = script_expectation(i);
 
 		if (expect != NULL && measure)
-			printf("%s=%.6g ", expect->metric,
-			    expect->sum / (double)(to - from + 1));
+			printf("metric=%s mean=%.6g worst=%.6g\n",
+			    expect->metric,
+			    expect->sum / (double)(to - from + 1),
+			    expect->worst);
 		else if (expect != NULL)
 			report(expect, values);
 	}
-	printf("%s seeds=%llu failed=%u\n", measure ? "" : "event=summary",
-	    to - from + 1, failed);
+	if (!measure)
+		printf("event=summary seeds=%llu failed=%u\n", to - from + 1,
+		    failed);
 	return failed == 0 || measure ? 0 : 1;
 }
--- a/tests/scenario/process.c
+++ b/tests/scenario/process.c
@@ -1,29 +1,15 @@
 #include "world.h"
 
-#define OUTPUTS_MAX 1000000
-#define DATA_MAX    100000 /* bytes of a recorded input */
-#define KEY_SIZE    128
-
-static uint64_t *outputs; /* of a replay */
-static size_t output_count;
-
 static void
 set_watch(struct process *process, const struct plug_action *action)
 {
-	const char *key = apr_pstrmemdup(
-	    world.pool, action->watch.key.data, action->watch.key.len);
-	struct watch *watch = NULL;
+	const struct key *key = config_key(apr_pstrmemdup(
+	    world.pool, action->watch.key.data, action->watch.key.len));
+	struct watch *watch = &process->watches[key - world.keys];
 
-	for (int i = 0; i < WATCHES_MAX; i++)
-		if (process->watches[i].key != NULL
-			? strcmp(process->watches[i].key, key) == 0
-			: watch == NULL)
-			watch = &process->watches[i];
-	if (watch == NULL)
-		return;
+	watch->active = action->kind == PLUG_ACTION_WATCH;
 	watch->index = action->watch.index;
 	watch->asked = world.now;
-	watch->key = action->kind == PLUG_ACTION_WATCH ? key : NULL;
 }
 
 static void
@@ -33,13 +19,14 @@
 	struct plug_reply reply;
 
 	if (target.port == FABRIC_PORT) {
-		if (plug_packet_decode_reply(
-			event->data, event->len, &reply, NULL) != PLUG_OK)
+		if (process->mute || plug_packet_decode_reply(event->data,
+					 event->len, &reply, NULL) != PLUG_OK)
 			return;
 		event->kind = EV_PACKET;
 		event->target = (int)(reply.caller.address & 0xffff);
 		event->b = reply.caller.port;
 		link_send(LINK_CALLER, process->index, PLACE_CALLERS, event);
+		return;
 	}
 	for (int i = 0; i < world.process_count; i++) {
 		event->target = i;
@@ -50,77 +37,62 @@
 	}
 }
 
-/* Work starts on arrival at an upstream, so nothing can be cancelled. */
-static void
-act(struct process *process, const struct plug_action *action,
-    struct event *event)
-{
-	if (action->kind == PLUG_ACTION_DATAGRAM)
-		send_to(process, LINK_DATA, action->datagram.target, event);
-	else if (action->kind == PLUG_ACTION_PEER)
-		send_to(process, LINK_CONTROL, action->peer.target, event);
-	else if (action->kind <= PLUG_ACTION_UNWATCH)
-		set_watch(process, action);
-	else if (action->kind == PLUG_ACTION_UPSTREAM_CALL)
-		upstream_call(process, action->upstream.id,
-		    action->upstream.procedure, action->upstream.body);
-	else if (action->kind == PLUG_ACTION_UPSTREAM_RECONNECT)
-		upstream_reconnect(process);
-	else if (action->kind == PLUG_ACTION_STOPPED)
-		process->stopped = true;
-}
-
-/* Records an input, or states an output by its hash. */
 static void
-record(struct process *process, bool input, const struct event *event)
+set_view(struct process *process, struct plug_view *view)
 {
-	char key[KEY_SIZE] = "";
+	const struct plug_agent_event event = { .kind = PLUG_AGENT_VIEW,
+		.view = view };
 
-	if (process->record == NULL)
-		return;
-	(void)apr_cpystrn(
-	    key, event->key == NULL ? "" : event->key, sizeof(key));
-	(void)fwrite(&input, sizeof(input), 1, process->record);
-	(void)fwrite(event, sizeof(*event), 1, process->record);
-	(void)fwrite(key, sizeof(key), 1, process->record);
-	if (input)
-		(void)fwrite(event->data, 1, event->len, process->record);
+	plug_view_release(process->view);
+	process->view = plug_view_reference(view);
+	if (process->agent != NULL)
+		plug_agent_handle(process->agent, world.now, &event);
 }
 
 static void
 emit(void *data, const struct plug_action *action)
 {
 	struct process *process = data;
-	struct event event = { .kind = AGENT(DATAGRAM) };
-	const struct plug_agent_event view = { .kind = PLUG_AGENT_VIEW,
-		.view = action->view };
+	struct event event = { .kind = AGENT(DATAGRAM),
+		.data = (uint8_t *)action->datagram.data,
+		.len = action->datagram.len };
 
-	if (action->kind == PLUG_ACTION_VIEW) {
-		plug_view_release(process->view);
-		process->view = plug_view_reference(action->view);
-		if (process->agent != NULL)
-			plug_agent_handle(process->agent, world.now, &view);
+	if (world.tap != NULL && world.tap(process, action))
 		return;
-	}
-	if (action->kind == PLUG_ACTION_PEER) {
+	switch (action->kind) {
+	case PLUG_ACTION_DATAGRAM:
+		send_to(process, LINK_DATA, action->datagram.target, &event);
+		break;
+	case PLUG_ACTION_PEER:
 		event.kind = NODE(PEER);
 		event.len =
 		    plug__message__get_packed_size(action->peer.message);
 		event.data = apr_palloc(world.pool, event.len + 1);
 		(void)plug__message__pack(action->peer.message, event.data);
-	} else if (action->kind == PLUG_ACTION_DATAGRAM) {
-		event.data = (uint8_t *)action->datagram.data;
-		event.len = action->datagram.len;
+		send_to(process, LINK_CONTROL, action->peer.target, &event);
+		break;
+	case PLUG_ACTION_WATCH:
+	case PLUG_ACTION_UNWATCH:
+		set_watch(process, action);
+		break;
+	case PLUG_ACTION_VIEW:
+		set_view(process, action->view);
+		break;
+	case PLUG_ACTION_UPSTREAM_CALL:
+		upstream_call(process, action->upstream.id,
+		    action->upstream.procedure, action->upstream.body);
+		break;
+	case PLUG_ACTION_UPSTREAM_CANCEL: /* work starts on arrival */
+		break;
+	case PLUG_ACTION_UPSTREAM_RECONNECT:
+		upstream_reconnect(process);
+		break;
+	case PLUG_ACTION_FABRIC_RENEW:
+		process->mute = false;
+		break;
+	case PLUG_ACTION_STOPPED:
+		process->stopped = true;
 	}
-	event.a = (uint64_t)action->kind ^ plug_str_hash((struct plug_str){
-					       (char *)event.data, event.len });
-	if (action->kind <= PLUG_ACTION_PEER)
-		event.a ^= (uint64_t)action->datagram.target.address << 8;
-	record(process, false, &event);
-	if (!world.replaying)
-		act(process, action, &event);
-	else if (output_count < OUTPUTS_MAX)
-		outputs[output_count++] = event.a;
 }
 
 static void
@@ -128,36 +100,35 @@
 {
 	const struct process *process = data;
 
-	if (world.trace && level <= PLUG_LOG_DEBUG)
+	if (level <= PLUG_LOG_DEBUG)
 		trace("%s %.*s", process->name, (int)line.len, line.data);
 }
 
-/* Builds the decision objects of a process; a recording begins with them. */
+/* Builds the decision objects of a process whose fields are set. */
 void
-process_create(struct process *process, const struct identity *identity)
+process_create(struct process *process)
 {
-	const struct plug_endpoint fabric = { (uint32_t)identity->domain,
+	const struct plug_endpoint fabric = { (uint32_t)process->domain,
 		FABRIC_PORT };
 	const uint32_t domain = plug_domain_hash(plug_str_from(
-	    apr_psprintf(world.pool, "d%d", identity->domain + 1)));
+	    apr_psprintf(world.pool, "d%d", process->domain + 1)));
+	const bool entry = process->service < 0;
 	const uint32_t service =
-	    identity->service < 0 ? 0
-				  : (uint32_t)identity->service + SERVICE_BASE;
-	const struct plug_node_config node = { identity->instance,
+	    entry ? 0 : (uint32_t)process->service + SERVICE_BASE;
+	const struct plug_node_config node = { process->instance,
 		process->endpoint, domain, service,
-		plug_str_from(identity->service_name), identity->seeds,
-		identity->seed_count };
-	const struct plug_agent_config agent = { identity->instance,
+		plug_str_from(
+		    entry ? "" : world.services[process->service].name),
+		process->seeds, process->seed_count };
+	const struct plug_agent_config agent = { process->instance,
 		process->endpoint, domain, service, fabric };
 	struct plug_client *client = &process->client;
 
-	if (process->record != NULL)
-		(void)fwrite(identity, sizeof(*identity), 1, process->record);
-	*client =
-	    (struct plug_client){ emit, process, log_line, process, { 0 } };
-	memcpy(client->random, identity->random, sizeof(client->random));
+	client->emit = emit;
+	client->log = log_line;
+	client->emit_data = client->log_data = process;
 	plug_router_init(&process->router, client, domain);
-	if (service != 0 && !world.baseline)
+	if (!entry && !world.baseline)
 		process->agent = plug_agent_create(client, &agent, world.now);
 	process->node = plug_node_create(client, &node, world.now);
 }
@@ -174,7 +145,6 @@
 	process->agent = NULL;
 	process->node = NULL;
 	process->view = NULL;
-	process->record = NULL;
 	memset(process->watches, 0, sizeof(process->watches));
 }
 
@@ -213,7 +183,8 @@
 	const bool usable = plug_node_confirmed(process->node, world.now);
 	Plug__Message *message = NULL;
 
-	record(process, true, event);
+	if (world.record != NULL)
+		world.record(process, event);
 	if (event->kind == NODE(PEER)) {
 		message = plug__message__unpack(NULL, event->len, event->data);
 		if (message == NULL)
@@ -250,47 +221,3 @@
 		plug_agent_handle(process->agent, world.now, &agent);
 	plug__message__free_unpacked(message, NULL);
 }
-
-/* Feeds a recording to new objects and compares what they state. */
-int
-process_replay(const char *path)
-{
-	struct process *process = &world.processes[0];
-	struct identity identity;
-	struct event event;
-	size_t checked = 0, differ = 0;
-	bool input;
-	char key[KEY_SIZE];
-	FILE *file = fopen(path, "r");
-
-	if (file == NULL || fread(&identity, sizeof(identity), 1, file) != 1)
-		return 2;
-	(void)apr_pool_create(&world.pool, NULL);
-	outputs = apr_palloc(world.pool, OUTPUTS_MAX * sizeof(*outputs));
-	world.replaying = true;
-	world.now = identity.now;
-	process->service = identity.service;
-	process->endpoint = identity.endpoint;
-	process_create(process, &identity);
-	while (fread(&input, sizeof(input), 1, file) == 1 &&
-	       fread(&event, sizeof(event), 1, file) == 1 &&
-	       fread(key, sizeof(key), 1, file) == 1) {
-		if (!input) {
-			differ += checked >= output_count ||
-				  outputs[checked] != event.a;
-			checked++;
-			continue;
-		}
-		event.key = key;
-		event.data = apr_palloc(world.pool, DATA_MAX);
-		if (event.len > DATA_MAX ||
-		    fread(event.data, 1, event.len, file) != event.len)
-			return 2;
-		world.now = event.time;
-		process_input(process, &event);
-	}
-	process_destroy(process);
-	(void)fclose(file);
-	printf("event=replay outputs=%zu differ=%zu\n", checked, differ);
-	return differ == 0 && checked == output_count ? 0 : 1;
-}
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -1,15 +1,12 @@
-#include <ctype.h>
-
 #include "world.h"
 
-#define WORDS_MAX    12
-#define LINE_SIZE    256
-#define ENTRY_NET    0x0a010000U
-#define AGENT_NET    0x0a020000U
-#define SERVICE_NET  0x0a080000U
-#define COLD_SECONDS 10
+#define WORDS_MAX   12
+#define LINE_SIZE   256
+#define ENTRY_NET   0x0a010000U
+#define AGENT_NET   0x0a020000U
+#define SERVICE_NET 0x0a080000U
 
-/* The lines of a scenario; a deployment file's are put in their place. */
+/* The lines of a scenario; an included file's are put in their place. */
 static struct {
 	char file[LINE_SIZE];
 	int number;
@@ -18,11 +15,15 @@
 } lines[LINES_MAX];
 static int line_count;
 
-/* The line that is being executed, split into words. */
+/* The command that is being executed: its words and converted arguments. */
 static int current;
 static int word_count;
 static char *words[WORDS_MAX];
-static char buffer[LINE_SIZE];
+static struct {
+	struct process *process;
+	int service, places[2];
+	double number;
+} arg;
 
 static void __attribute__((noreturn))
 fail(const char *message, const char *detail)
@@ -35,12 +36,11 @@
 static void
 split(int line)
 {
-	char *save = NULL;
+	char *save = NULL, *text = apr_pstrdup(world.pool, lines[line].text);
 
 	current = line;
 	word_count = 0;
-	(void)apr_cpystrn(buffer, lines[line].text, sizeof(buffer));
-	for (char *word = strtok_r(buffer, " \t", &save); word != NULL;
+	for (char *word = strtok_r(text, " \t", &save); word != NULL;
 	     word = strtok_r(NULL, " \t", &save)) {
 		if (word_count == WORDS_MAX)
 			fail("too many words", word);
@@ -48,14 +48,6 @@
 	}
 }
 
-static const char *
-word(int i)
-{
-	if (i >= word_count)
-		fail("too few words", words[0]);
-	return words[i];
-}
-
 static bool
 is(int i, const char *text)
 {
@@ -92,9 +84,7 @@
 static double
 option_number(const char *name, double otherwise)
 {
-	const char *text = option(name);
-
-	return text == NULL ? otherwise : number(text);
+	return option(name) == NULL ? otherwise : number(option(name));
 }
 
 static int
@@ -106,27 +96,17 @@
 	fail("unknown service", name);
 }
 
-static struct process *
-find_process(const char *name)
-{
-	for (int i = 0; i < world.process_count; i++)
-		if (strcmp(world.processes[i].name, name) == 0)
-			return &world.processes[i];
-	fail("unknown instance", name);
-}
-
 static int
 find_place(const char *name)
 {
-	static const char *const names[] = { "callers", "config", "d1", "d2",
-		"d3" };
-	static const int places[] = { PLACE_CALLERS, PLACE_CONFIG, PLACE_DOMAIN,
-		PLACE_DOMAIN - 1, PLACE_DOMAIN - 2 };
-
-	for (int i = 0; i < 2 + DOMAINS; i++)
-		if (strcmp(names[i], name) == 0)
-			return places[i];
-	return find_process(name)->index;
+	if (strcmp(name, "config") == 0)
+		return PLACE_CONFIG;
+	if (name[0] == 'd' && name[1] >= '1' && name[1] < '1' + DOMAINS)
+		return PLACE_DOMAIN - (name[1] - '1');
+	for (int i = 0; i < world.process_count; i++)
+		if (strcmp(world.processes[i].name, name) == 0)
+			return i;
+	fail("unknown place", name);
 }
 
 static void
@@ -134,176 +114,91 @@
 {
 	int index = world.service_count++;
 	struct service *service = &world.services[index];
-	char *save = NULL;
-	char *names = apr_pstrdup(world.pool, option("operations"));
+	char *save = NULL, *names = apr_pstrdup(world.pool, words[4]);
 
 	if (index == SERVICES_MAX)
-		fail("too many services", word(1));
-	service->name = apr_pstrdup(world.pool, word(1));
+		fail("too many services", words[1]);
+	service->name = words[1];
 	service->slots = (unsigned int)option_number("slots", 1);
-	service->cold_seconds = COLD_SECONDS;
-	service->address.address = SERVICE_NET | (uint32_t)(index + 1);
-	service->address.port = 9000;
+	service->address =
+	    (struct plug_endpoint){ SERVICE_NET | (uint32_t)(index + 1), 9000 };
+	(void)apr_strtok(names, "=", &save);
 	for (int i = 0; i < OPERATIONS; i++)
-		service->operations[i] =
-		    apr_strtok(i == 0 ? names : NULL, ",", &save);
+		service->operations[i] = apr_strtok(NULL, ",", &save);
 	for (int i = 0; i < (int)option_number("hosts", 1); i++)
-		(void)process_add(
-		    apr_psprintf(world.pool, "%s%d", word(1), i + 1),
-		    i % DOMAINS, index,
+		(void)process_add(words[1], i + 1, i % DOMAINS, index,
 		    AGENT_NET | (uint32_t)(index << 8 | (i + 1)));
 }
 
 static void
 add_callers(void)
 {
-	int service = find_service(word(1));
 	unsigned int weights[OPERATIONS] = { 0 };
 	const char *mix = option("mix"), *at;
 
 	for (int i = 0; i < OPERATIONS && mix != NULL; i++) {
-		at = strstr(mix, world.services[service].operations[i]);
+		at = strstr(mix, world.services[arg.service].operations[i]);
 		at = at == NULL ? NULL : strchr(at, ':');
 		weights[i] = at == NULL ? 0 : (unsigned int)atoi(at + 1);
 	}
 	if (weights[0] + weights[1] + weights[2] == 0)
 		fail("no operation of the service in", "mix=");
 	for (int i = 0; i < (int)option_number("count", 100); i++)
-		caller_add(service, seconds(option_number("from", 0)),
+		caller_add(arg.service, seconds(option_number("from", 0)),
 		    seconds(option_number("every", 1)), weights);
 }
 
+/* Takes a domain out of one service or of all, or back. */
 static void
-set_link(void)
-{
-	static const char *const names[] = { "caller", "data", "control" };
-	struct link_settings *link = NULL;
-
-	for (int i = 0; i < LINK_CLASSES; i++)
-		link = is(1, names[i]) ? &world.links[i] : link;
-	if (link == NULL)
-		fail("unknown link class", word(1));
-	link->loss = option_number("loss", link->loss);
-	link->duplicate = option_number("duplicate", link->duplicate);
-	link->reorder = option_number("reorder", link->reorder);
-	link->delay = option_number("delay", link->delay);
-	link->jitter = option_number("jitter", link->jitter);
-}
-
-/* Starts, stops, kills, pauses or resumes an entry, agent, upstream or host. */
-static void
-change_process(void)
-{
-	struct process *process = find_process(word(2));
-	const bool upstream = is(1, "upstream") || is(1, "host");
-	const bool itself = !is(1, "upstream");
-
-	if (is(0, "start")) {
-		if (upstream && !process->upstream.alive)
-			upstream_start(process, 0);
-		if (itself)
-			process_start(process);
-	} else if (is(0, "kill")) {
-		if (upstream)
-			upstream_kill(process);
-		if (itself)
-			process_end(process, true);
-	} else if (is(0, "pause")) {
-		process->paused = process->alive;
-		process->gone = world.now;
-	} else if (is(0, "resume"))
-		process_resume(process);
-	else if (process->service < 0)
-		process_end(process, false);
-	else {
-		process->leaving = true;
-		process->leave_time = world.now;
-		config_members(process->service);
-		event_at(
-		    event_new(AGENT(STOP), process->index, process->epoch), 0);
-	}
-}
-
-static void
-change_upstream(void)
-{
-	struct upstream *upstream = &find_process(word(1))->upstream;
-
-	if (is(0, "cold")) {
-		upstream->started = world.now;
-		upstream->unannounced = true;
-		upstream->told = 0;
-	} else if (is(0, "silence"))
-		upstream->silent = upstream->connection;
-	else if (is(0, "drain"))
-		upstream->draining = true;
-	else {
-		upstream->lie = option_number("lie", -1);
-		upstream->lag = seconds(option_number("lag", 0));
-	}
-}
-
-static void
-cut_links(void)
-{
-	int *cut = world.cuts[world.cut_count++];
-
-	cut[0] = find_place(word(1));
-	cut[1] = find_place(word(2));
-	if (!is(3, "oneway")) {
-		world.cuts[world.cut_count][0] = cut[1];
-		world.cuts[world.cut_count++][1] = cut[0];
-	}
-	if (world.cut_count + 2 > CUTS_MAX)
-		fail("too many cuts", word(1));
-}
-
-static void
-change_domain(void)
+change_domain(int domain, bool out)
 {
-	int domain = PLACE_DOMAIN - find_place(word(2));
-
 	if (domain < 0)
-		fail("unknown domain", word(2));
+		fail("unknown domain", words[2]);
 	for (int i = 0; i < world.service_count; i++) {
-		if (!is(1, "all") && i != find_service(word(1)))
+		if (!is(1, "all") && !is(1, world.services[i].name))
 			continue;
-		world.services[i].out[domain] = is(0, "out");
+		world.services[i].out[domain] = out;
 		world.services[i].out_since[domain] = world.now;
 		config_document(i, false);
 	}
 }
 
-/* A new service's agent takes the address of a crashed one. */
 static void
-reuse_address(void)
+cut_links(int from, int to)
+{
+	if (world.cut_count == CUTS_MAX)
+		fail("too many cuts", words[1]);
+	world.cuts[world.cut_count][0] = from;
+	world.cuts[world.cut_count++][1] = to;
+}
+
+/* Stops gracefully; the instance list shows an agent as leaving. */
+static void
+stop(struct process *process)
 {
-	struct process *old = find_process(word(1)), *process;
-
-	upstream_kill(old);
-	process_end(old, true);
-	process = process_add(
-	    word(3), old->domain, find_service(word(2)), old->endpoint.address);
-	upstream_start(process, 0);
-	process_start(process);
+	if (process->service < 0) {
+		process_end(process, false);
+		return;
+	}
+	process->leaving = true;
+	process->leave_time = world.now;
+	config_members(process->service);
+	(void)event_new(0, AGENT(STOP), process->index, process->epoch);
 }
 
 static void
 read_expectation(void)
 {
 	struct expectation *expect = &lines[current].expect;
-	static const char *const operators[] = { "==", "<=", ">=" };
 	double value;
 
 	if (expect->metric != NULL)
 		return;
-	expect->op = NULL;
-	for (int i = 0; i < 3; i++)
-		expect->op = is(2, operators[i]) ? operators[i] : expect->op;
-	if (expect->op == NULL)
-		fail("unknown comparison", word(2));
-	expect->metric = strdup(word(1));
-	expect->bound = number(word(3));
+	if (!is(2, "==") && !is(2, "<=") && !is(2, ">="))
+		fail("unknown comparison", words[2]);
+	expect->metric = strdup(words[1]);
+	expect->op = strdup(words[2]);
+	expect->bound = arg.number;
 	expect->from = option_number("from", 0);
 	expect->to = option_number("to", SECONDS_MAX);
 	expect->base_from = option_number("base_from", 0);
@@ -311,79 +206,174 @@
 	expect->service =
 	    option("service") == NULL ? -1 : find_service(option("service"));
 	if (!verdict_figure(expect, &value))
-		fail("unknown figure", word(1));
+		fail("unknown figure", words[1]);
 }
 
+/* Arguments: s service, p process, l place, n number, w any word. */
+static const struct {
+	const char *arguments, *names;
+} commands[] = {
+	{ "", " delay list heal " },
+	{ "n", " run entries silence-callers " },
+	{ "w", " service link config " },
+	{ "s", " callers publish corrupt stale rollback " },
+	{ "p", " cold drain health silence silence-fabric " },
+	{ "wp", " start kill stop pause resume " },
+	{ "ll", " cut " },
+	{ "wl", " out back " },
+	{ "psw", " reuse " },
+	{ "wwn", " expect " },
+};
+
 static void
 set_world(void)
 {
-	int count = word_count > 1 ? atoi(words[1]) : 0;
-
-	if (is(0, "delay")) {
+	struct link *link = &world.links[LINK_CONTROL];
+
+	if (is(0, "service"))
+		add_service();
+	else if (is(0, "callers"))
+		add_callers();
+	else if (is(0, "expect"))
+		read_expectation();
+	else if (is(0, "run"))
+		world.end = seconds(arg.number);
+	else if (is(0, "list"))
+		world.list_lag = seconds(option_number("lag", 1));
+	else if (is(0, "delay")) {
 		world.across = seconds(option_number("across", 0));
 		world.to_caller = seconds(option_number("callers", 0));
-	} else if (is(0, "list"))
-		world.list_lag = seconds(option_number("lag", 1));
-	else if (is(0, "run"))
-		world.end = seconds(number(word(1)));
-	else if (is(0, "heal"))
+	} else if (is(0, "entries")) {
+		for (int i = 0; i < (int)arg.number; i++)
+			(void)process_add("entry", i + 1, i % DOMAINS, -1,
+			    ENTRY_NET | (uint32_t)(i + 1));
+	} else if (is(0, "link")) {
+		if (is(1, "caller"))
+			link = &world.links[LINK_CALLER];
+		else if (is(1, "data"))
+			link = &world.links[LINK_DATA];
+		else if (!is(1, "control"))
+			fail("unknown link class", words[1]);
+		link->loss = option_number("loss", link->loss);
+		link->duplicate = option_number("duplicate", link->duplicate);
+		link->jitter = option_number("jitter", link->jitter);
+	}
+}
+
+static void
+inject_fault(void)
+{
+	if (is(0, "cut")) {
+		cut_links(arg.places[0], arg.places[1]);
+		if (!is(3, "oneway"))
+			cut_links(arg.places[1], arg.places[0]);
+	} else if (is(0, "heal")) {
 		world.cut_count = 0;
-	else if (is(0, "config"))
+		world.healed = world.now;
+	} else if (is(0, "config")) {
 		world.config_down = is(1, "down");
-	else if (is(0, "entries"))
-		for (int i = 0; i < count; i++)
-			(void)process_add(
-			    apr_psprintf(world.pool, "entry%d", i + 1),
-			    i % DOMAINS, -1, ENTRY_NET | (uint32_t)(i + 1));
+		world.healed = world.now;
+	} else if (is(0, "out") || is(0, "back"))
+		change_domain(PLACE_DOMAIN - arg.places[0], is(0, "out"));
+	else if (is(0, "publish") || is(0, "corrupt"))
+		config_document(arg.service, is(0, "corrupt"));
+	else if (is(0, "stale"))
+		world.services[arg.service].document->stale = true;
+	else if (is(0, "rollback"))
+		config_rollback(arg.service);
 	else if (is(0, "silence-callers"))
-		for (int i = 0; i < count && i < world.caller_count; i++)
+		for (int i = 0; i < (int)arg.number; i++)
 			world.callers[i].silent_port =
 			    world.callers[i].flow.caller.port;
-	world.healed = world.now;
 }
 
+/* Changes an entry, agent, upstream or host; a host is the last two. */
 static void
-publish(void)
+change_process(void)
 {
-	int service = find_service(word(1));
+	struct process *process = arg.process;
+	struct upstream *upstream = &process->upstream;
+	const bool alone = is(1, "upstream"), host = alone || is(1, "host");
 
-	if (is(0, "publish") || is(0, "corrupt"))
-		config_document(service, is(0, "corrupt"));
-	else
-		config_key(apr_pstrcat(world.pool, "service/", word(1), NULL))
-		    ->stale = is(0, "stale");
+	if (is(0, "start")) {
+		if (host && !upstream->alive)
+			upstream_start(process, 0);
+		if (!alone)
+			process_start(process);
+	} else if (is(0, "kill") || is(0, "reuse")) {
+		if (host || is(0, "reuse"))
+			upstream_kill(process);
+		if (!alone)
+			process_end(process, true);
+	} else if (is(0, "stop"))
+		stop(process);
+	else if (is(0, "pause")) {
+		process->paused = process->alive;
+		process->gone = world.now;
+	} else if (is(0, "resume"))
+		process_resume(process);
+	else if (is(0, "cold")) {
+		upstream->started = world.now;
+		upstream->unannounced = true;
+		upstream->told = 0;
+	} else if (is(0, "drain")) {
+		upstream->draining = true;
+		process->leave_time = world.now;
+	} else if (is(0, "health")) {
+		upstream->lie = option_number("lie", -1);
+		upstream->lag = seconds(option_number("lag", 0));
+	} else if (is(0, "silence"))
+		upstream->silent = upstream->connection;
+	else if (is(0, "silence-fabric"))
+		process->mute = true;
+	if (is(0, "reuse")) { /* by a new agent of another service */
+		process = process_add(words[3], 0, process->domain, arg.service,
+		    process->endpoint.address);
+		upstream_start(process, 0);
+		process_start(process);
+	}
 }
 
-static const struct {
-	void (*run)(void);
-	const char *names;
-} commands[] = {
-	{ add_service, " service " },
-	{ add_callers, " callers " },
-	{ set_link, " link " },
-	{ set_world, " delay list run heal config entries silence-callers " },
-	{ change_process, " start stop kill pause resume " },
-	{ change_upstream, " cold silence drain health " },
-	{ cut_links, " cut " },
-	{ change_domain, " out back " },
-	{ publish, " publish corrupt stale fresh " },
-	{ reuse_address, " reuse " },
-	{ read_expectation, " expect " },
-};
+static void
+convert(char kind, char *word, int *places)
+{
+	if (kind == 's')
+		arg.service = find_service(word);
+	else if (kind == 'n')
+		arg.number = number(word);
+	else if (kind == 'l')
+		arg.places[(*places)++] = find_place(word);
+	else if (kind == 'p' && find_place(word) < 0)
+		fail("not an instance", word);
+	else if (kind == 'p')
+		arg.process = &world.processes[find_place(word)];
+}
 
-/* Runs the command that begins with a word, or only checks its name. */
+/* Runs the command in the words from one on, or only checks its form. */
 static void
 execute(int first, bool check)
 {
-	const char *name = apr_pstrcat(world.pool, " ", word(first), " ", NULL);
+	const char *kinds = NULL, *name;
+	int places = 0;
 
+	word_count -= first;
+	memmove(words, words + first, (size_t)word_count * sizeof(*words));
+	name = apr_pstrcat(world.pool, " ", words[0], " ", NULL);
 	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
-		if (strstr(commands[i].names, name) != NULL) {
-			if (!check)
-				commands[i].run();
-			return;
-		}
-	fail("unknown command", words[first]);
+		if (strstr(commands[i].names, name) != NULL)
+			kinds = commands[i].arguments;
+	if (kinds == NULL)
+		fail("unknown command", words[0]);
+	if ((int)strlen(kinds) >= word_count)
+		fail("too few words", words[0]);
+	for (int i = 0; kinds[i] != '\0' && !check; i++)
+		convert(kinds[i], words[i + 1], &places);
+	if (check)
+		return;
+	if (strchr(kinds, 'p') != NULL)
+		change_process();
+	set_world();
+	inject_fault();
 }
 
 /* Runs the timed command of a line. */
@@ -392,9 +382,7 @@
 {
 	split(line);
 	trace("script %s", lines[line].text);
-	word_count -= 2;
-	memmove(words, words + 2, (size_t)word_count * sizeof(*words));
-	execute(0, false);
+	execute(2, false);
 }
 
 /* Reads a scenario; "deployment X" reads X.deployment beside it. */
@@ -402,9 +390,8 @@
 script_load(const char *path)
 {
 	FILE *file = fopen(path, "r");
-	int slash = strrchr(path, '/') == NULL
-			? 0
-			: (int)(strrchr(path, '/') - path) + 1;
+	const char *slash = strrchr(path, '/');
+	int dir = slash == NULL ? 0 : (int)(slash - path) + 1;
 	char kind[16], name[32], other[LINE_SIZE];
 
 	if (file == NULL) {
@@ -422,7 +409,7 @@
 		if (sscanf(text, "%15[a-z] %31s", kind, name) == 2 &&
 		    (strcmp(kind, "deployment") == 0 ||
 			strcmp(kind, "include") == 0)) {
-			(void)snprintf(other, sizeof(other), "%.*s%s.%s", slash,
+			(void)snprintf(other, sizeof(other), "%.*s%s.%s", dir,
 			    path, name, kind);
 			(void)script_load(other);
 		} else if (text[strspn(text, " \t")] != '\0')
@@ -441,10 +428,10 @@
 	world.list_lag = PLUG_SEC;
 	for (int i = 0; i < line_count; i++) {
 		split(i);
-		if (is(0, "at")) {
+		if (word_count > 2 && is(0, "at")) {
+			(void)event_new(
+			    seconds(number(words[1])), EV_COMMAND, i, 0);
 			execute(2, true);
-			event_at(event_new(EV_COMMAND, i, 0),
-			    seconds(number(words[1])));
 		} else
 			execute(0, false);
 	}
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -4,18 +4,22 @@
 #define LOCAL_DELAY  200 /* microseconds inside one domain */
 #define HELD_MAX     4096
 #define HEALTH_EVERY PLUG_SEC
-#define OUT_BOUND    (3 * PLUG_SEC)
+#define OUT_BOUND    3.0 /* seconds until a domain must be silent */
 
 struct world world;
 
-/* Uniform number in [0, 1) of the world's own generator. */
 double
 uniform(void)
 {
 	return erand48(world.rng);
 }
 
-/* Prints a line with the time and who has something to say. */
+plug_time
+seconds(double value)
+{
+	return (plug_time)(value * (double)PLUG_SEC);
+}
+
 void
 trace(const char *format, ...)
 {
@@ -30,34 +34,28 @@
 	printf("\n");
 }
 
-/* Converts seconds to simulated time. */
-plug_time
-seconds(double value)
+/* Queues an event that is not queued yet. */
+void
+event_at(struct event *event, plug_time delay)
 {
-	return (plug_time)(value * (double)PLUG_SEC);
+	event->time = world.now + delay;
+	event->seq = world.seq++;
+	(void)apr_skiplist_insert(world.queue, event);
 }
 
-/* Allocates an event for a target. */
+/* Allocates and queues an event; the caller may fill in the arguments. */
 struct event *
-event_new(int kind, int target, uint64_t epoch)
+event_new(plug_time delay, int kind, int target, uint64_t epoch)
 {
 	struct event *event = apr_pcalloc(world.pool, sizeof(*event));
 
 	event->kind = kind;
 	event->target = target;
 	event->epoch = epoch;
+	event_at(event, delay);
 	return event;
 }
 
-/* Queues an event that is not queued yet. */
-void
-event_at(struct event *event, plug_time delay)
-{
-	event->time = world.now + delay;
-	event->seq = world.seq++;
-	(void)apr_skiplist_insert(world.queue, event);
-}
-
 static int
 compare_event(void *left, void *right)
 {
@@ -87,35 +85,26 @@
 	return false;
 }
 
-/* Sends a copy of an event over a link. Control messages stay in order. */
+/* Sends a copy of an event over a link; jitter alone changes the order. */
 void
 link_send(enum link_class class, int from, int to, const struct event *event)
 {
-	const struct link_settings *link = &world.links[class];
-	plug_time base = world.across, delay, *last;
+	const struct link *link = &world.links[class];
+	plug_time delay = world.across;
 
 	if (from < 0 || to < 0)
-		base = world.to_caller;
+		delay = world.to_caller;
 	else if (world.processes[from].domain == world.processes[to].domain)
-		base = LOCAL_DELAY;
+		delay = LOCAL_DELAY;
 	if (link_cut(from, to) || uniform() < link->loss)
 		return;
 	for (int copies = uniform() < link->duplicate ? 2 : 1; copies > 0;
 	     copies--) {
-		struct event *copy = event_new(0, 0, 0);
+		struct event *copy =
+		    apr_pmemdup(world.pool, event, sizeof(*event));
 
-		*copy = *event;
 		copy->data = apr_pmemdup(world.pool, event->data, event->len);
-		delay = base + seconds(link->delay + uniform() * link->jitter);
-		if (uniform() < link->reorder)
-			delay += 2 * base + seconds(link->jitter);
-		else if (class == LINK_CONTROL) {
-			last = &world.processes[from].fifo[to];
-			if (world.now + delay < *last)
-				delay = *last - world.now;
-			*last = world.now + delay;
-		}
-		event_at(copy, delay);
+		event_at(copy, delay + seconds(uniform() * link->jitter));
 	}
 }
 
@@ -127,15 +116,17 @@
 	       world.services[process->service].out[process->domain];
 }
 
-/* Adds a process that is not running yet. */
+/* Adds a process that is not running yet; number 0 is not in its name. */
 struct process *
-process_add(const char *name, int domain, int service, uint32_t address)
+process_add(
+    const char *name, int number, int domain, int service, uint32_t address)
 {
 	struct process *process = &world.processes[world.process_count];
 
 	if (world.process_count == PROCESSES_MAX)
 		abort();
-	process->name = apr_pstrdup(world.pool, name);
+	process->name =
+	    number == 0 ? name : apr_psprintf(world.pool, "%s%d", name, number);
 	process->index = world.process_count++;
 	process->domain = domain;
 	process->service = service;
@@ -146,47 +137,35 @@
 }
 
 static void
-start_ticks(struct process *process)
+start_ticks(const struct process *process)
 {
-	event_at(event_new(NODE(TICK), process->index, process->epoch), 0);
+	(void)event_new(0, NODE(TICK), process->index, process->epoch);
 	if (process->agent != NULL)
-		event_at(
-		    event_new(AGENT(TICK), process->index, process->epoch), 0);
+		(void)event_new(0, AGENT(TICK), process->index, process->epoch);
 }
 
 /* Starts a process with an empty memory and a new instance id. */
 void
 process_start(struct process *process)
 {
-	struct identity identity = { .endpoint = process->endpoint,
-		.domain = process->domain,
-		.service = process->service,
-		.now = world.now };
-
 	if (process->alive)
 		return;
+	process->seed_count = 0;
 	for (int i = 0; i < world.process_count; i++)
 		if (i != process->index && world.processes[i].service < 0 &&
-		    identity.seed_count < SEEDS)
-			identity.seeds[identity.seed_count++] =
+		    process->seed_count < SEEDS)
+			process->seeds[process->seed_count++] =
 			    world.processes[i].endpoint;
-	if (process->service >= 0)
-		(void)apr_cpystrn(identity.service_name,
-		    world.services[process->service].name, PLUG_NAME_SIZE);
 	process->alive = true;
 	process->leaving = process->stopped = false;
+	process->leave_time = 0;
 	process->since = world.now;
 	process->epoch = ++world.seq;
-	process->instance = identity.instance = process->epoch << 32 | 1;
+	process->instance = process->epoch << 32 | 1;
 	for (int i = 0; i < 3; i++)
-		identity.random[i] = (unsigned short)(uniform() * 65536);
+		process->client.random[i] = (unsigned short)(uniform() * 65536);
 	memset(process->seen, 0, sizeof(process->seen));
-	if (world.record != NULL &&
-	    strcmp(process->name, world.record_name) == 0) {
-		process->record = world.record;
-		world.record = NULL;
-	}
-	process_create(process, &identity);
+	process_create(process);
 	start_ticks(process);
 	config_members(process->service);
 	if (process->upstream.alive)
@@ -203,7 +182,7 @@
 		world.killed[world.killed_count++] = process->instance;
 	process_destroy(process);
 	apr_array_clear(process->held);
-	process->alive = process->paused = false;
+	process->alive = process->paused = process->mute = false;
 	process->gone = crash ? world.now : -PLUG_SEC * SECONDS_MAX;
 	process->epoch = ++world.seq;
 	process->upstream.connection = 0;
@@ -228,7 +207,7 @@
 run_input(struct event *event)
 {
 	struct process *process = &world.processes[event->target];
-	plug_time late;
+	double *silent = &world.figures.domain_silent_after, late;
 
 	if (!process->alive || event->epoch != process->epoch)
 		return;
@@ -239,13 +218,11 @@
 		return;
 	}
 	if (event->kind == AGENT(DATAGRAM) && process_out(process)) {
-		late =
-		    world.now -
-		    world.services[process->service].out_since[process->domain];
-		if (late > OUT_BOUND)
-			world.figures.late_packets++;
-		if ((double)late > world.figures.domain_silent)
-			world.figures.domain_silent = (double)late;
+		late = (double)(world.now - world.services[process->service]
+						.out_since[process->domain]) /
+		       (double)PLUG_SEC;
+		world.figures.late_packets += late > OUT_BOUND;
+		*silent = fmax(*silent, late);
 	}
 	process_input(process, event);
 	if (event->kind == NODE(TICK))
@@ -267,8 +244,9 @@
 		config_poll(process);
 		if (world.now % HEALTH_EVERY == 0 && process->upstream.alive)
 			upstream_poll(process);
+		for (int k = 0; k < world.key_count; k++)
+			verdict_sample(process, k);
 	}
-	verdict_sample();
 	event_at(event, NODE_TICK);
 }
 
@@ -288,7 +266,7 @@
 	world.requests =
 	    apr_pcalloc(world.pool, REQUESTS_MAX * sizeof(*world.requests));
 	script_setup();
-	event_at(event_new(EV_SAMPLE, 0, 0), 0);
+	(void)event_new(0, EV_SAMPLE, 0, 0);
 	while ((event = apr_skiplist_pop(world.queue, NULL)) != NULL &&
 	       event->time <= world.end) {
 		world.now = event->time;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -4,6 +4,7 @@
 #include <apr_pools.h>
 #include <apr_skiplist.h>
 #include <apr_strings.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,7 +19,6 @@
 #define CALLERS_MAX   2000
 #define REQUESTS_MAX  500000
 #define CUTS_MAX      64
-#define WATCHES_MAX   16
 #define KILLED_MAX    256
 #define OPERATIONS    3
 #define BULK	      2	   /* index of the operation with large answers */
@@ -37,18 +37,13 @@
 
 enum link_class { LINK_CALLER, LINK_DATA, LINK_CONTROL, LINK_CLASSES };
 
-/* Probabilities are 0 to 1, times in seconds. */
-struct link_settings {
-	double loss, duplicate, reorder, delay, jitter;
-};
-
-/* Inputs of a process carry the library's own numbers and are recorded. */
+/* Inputs of a process carry the library's own numbers. */
 #define IN_NODE	    0
 #define IN_AGENT    8
 #define NODE(name)  (IN_NODE + PLUG_NODE_##name)
 #define AGENT(name) (IN_AGENT + PLUG_AGENT_##name)
 
-/* Inputs of the fakes. */
+/* Inputs of the fakes, in groups by receiver. */
 enum {
 	EV_CALL = 32,
 	EV_WORK_END,
@@ -61,31 +56,36 @@
 	EV_COMMAND,
 };
 
-/* Something at a time; seq orders events of one time. */
 struct event {
 	plug_time time;
-	uint64_t seq;
+	uint64_t seq; /* orders events of one time */
 	int kind;
 	int target;	/* process, caller or line */
 	uint64_t epoch; /* run or connection that it is meant for */
-	uint64_t a, b;
+	uint64_t a, b;	/* arguments of the kind */
 	double load;
 	const char *key;
 	uint8_t *data;
 	size_t len;
 };
 
+struct link {
+	double loss, duplicate; /* probabilities */
+	double jitter;		/* seconds; more than 0 reorders */
+};
+
 struct key {
 	const char *name, *data, *old_data;
-	uint64_t version, old_version, wanted;
-	int service; /* of a service document, otherwise -1 */
+	uint64_t version, old_version;
+	uint64_t wanted; /* newest version that must be accepted */
+	int service;	 /* of a service document, otherwise -1 */
 	plug_time published;
 	bool stale; /* every second reader's replica shows the old value */
 	bool corrupt;
 };
 
 struct watch {
-	const char *key; /* NULL when unused */
+	bool active;
 	uint64_t index;
 	plug_time asked;
 };
@@ -94,39 +94,45 @@
 	const char *name;
 	char *operations[OPERATIONS];
 	struct plug_endpoint address;
-	unsigned int slots, cold_seconds;
+	unsigned int slots;
+	struct key *document;
 	bool out[DOMAINS];
 	plug_time out_since[DOMAINS];
 };
 
 struct upstream {
 	bool alive, draining;
-	bool unannounced; /* cold again behind an open connection */
-	plug_time started, lag, told;
-	uint64_t epoch, connection, silent;
+	bool unannounced;	    /* cold again behind an open connection */
+	plug_time started, told;    /* told: first refusal after that */
+	plug_time lag;		    /* of the health endpoint */
+	double lie;		    /* published load, negative for the truth */
+	uint64_t epoch, connection; /* connection: 0 when closed */
+	uint64_t silent;	    /* connection that went silent */
 	unsigned int running;
-	double lie; /* published load, negative for the truth */
-	float busy[SECONDS_MAX];
+	float busy[SECONDS_MAX]; /* work in microseconds */
 };
 
 struct process {
 	const char *name;
 	struct plug_endpoint endpoint;
 	int index, domain, service; /* service -1 for an entry */
-	bool alive, paused, leaving, stopped;
-	plug_time since, gone, leave_time;
+	bool alive, paused, stopped;
+	bool leaving; /* as the instance list shows it */
+	bool mute;    /* its path to the fabric is silent */
+	plug_time since, gone;
+	plug_time leave_time; /* of a stop or drain, otherwise 0 */
 	uint64_t epoch, instance;
 	struct plug_client client;
+	struct plug_endpoint seeds[SEEDS];
+	unsigned int seed_count;
 	struct plug_node *node;
-	struct plug_agent *agent;
+	struct plug_agent *agent; /* NULL for an entry */
 	struct plug_router router;
 	struct plug_view *view;
-	struct watch watches[WATCHES_MAX];
+	struct watch watches[KEYS_MAX];
 	uint64_t seen[KEYS_MAX]; /* versions held at the last sample */
 	struct upstream upstream;
-	apr_array_header_t *held;      /* events of a paused process */
-	plug_time fifo[PROCESSES_MAX]; /* last arrival of a peer message */
-	FILE *record;
+	apr_array_header_t *held; /* events of a paused process */
 };
 
 enum request_end {
@@ -138,18 +144,6 @@
 	ENDS
 };
 
-/* What a process starts with. */
-struct identity {
-	uint64_t instance;
-	struct plug_endpoint endpoint;
-	int domain, service; /* service -1 for an entry */
-	char service_name[PLUG_NAME_SIZE];
-	struct plug_endpoint seeds[SEEDS];
-	unsigned int seed_count;
-	unsigned short random[3];
-	plug_time now;
-};
-
 struct request {
 	int service, operation;
 	plug_time sent, ended, deadline;
@@ -170,11 +164,13 @@
 	bool reopen;
 };
 
+/* Counted or highest figures; times in seconds. */
 struct figures {
-	double broken_flows, lost_with_owner, lost_with_domain, failed_opens;
+	double broken_flows, lost_with_owner, lost_with_domain;
 	double duplicate_runs, wrong_answers, foreign_work, late_packets;
-	double overload, late_work, reverts, accepted_bad, runs, renewals;
-	double config_lag, domain_silent; /* microseconds */
+	double overload, late_work, reverts, accepted_bad, false_refusals;
+	double runs, repeated_runs;
+	double config_everywhere, domain_silent_after;
 };
 
 /* One expect line; times in seconds. */
@@ -183,7 +179,7 @@
 	double bound, from, to, base_from, base_to;
 	int service; /* -1 for all */
 	double worst, sum;
-	char seeds[128];
+	char seeds[128]; /* that failed */
 };
 
 /* The one world of this program; a run starts with an empty one. */
@@ -193,8 +189,8 @@
 	plug_time now, end;
 	uint64_t seq, seed, version;
 	unsigned short rng[3];
-	bool trace, baseline, replaying, config_down;
-	struct link_settings links[LINK_CLASSES];
+	bool trace, baseline, config_down;
+	struct link links[LINK_CLASSES];
 	int cuts[CUTS_MAX][2], cut_count;
 	plug_time across, to_caller, list_lag, healed;
 	int service_count, process_count, caller_count, key_count, killed_count;
@@ -206,39 +202,41 @@
 	struct request *requests;
 	size_t request_count;
 	struct figures figures;
-	FILE *record;
-	const char *record_name;
+	/* Hooks of tests/replay; tap returns true to stop an action. */
+	void (*record)(struct process *process, const struct event *event);
+	bool (*tap)(struct process *process, const struct plug_action *action);
 };
 extern struct world world;
 
 /* world.c */
-struct event *event_new(int kind, int target, uint64_t epoch);
-void trace(const char *format, ...) __attribute__((format(printf, 1, 2)));
-void event_at(struct event *event, plug_time delay);
 double uniform(void);
 plug_time seconds(double value);
-struct process *
-process_add(const char *name, int domain, int service, uint32_t address);
-void process_start(struct process *process);
-void process_end(struct process *process, bool crash);
-void process_resume(struct process *process);
-bool process_out(const struct process *process);
+void trace(const char *format, ...) __attribute__((format(printf, 1, 2)));
+struct event *event_new(plug_time delay, int kind, int target, uint64_t epoch);
+void event_at(struct event *event, plug_time delay);
 bool link_cut(int from, int to);
 void
 link_send(enum link_class class, int from, int to, const struct event *event);
+bool process_out(const struct process *process);
+struct process *process_add(
+    const char *name, int number, int domain, int service, uint32_t address);
+void process_start(struct process *process);
+void process_end(struct process *process, bool crash);
+void process_resume(struct process *process);
 void world_run(void);
 void world_finish(void);
 
 /* process.c */
-void process_create(struct process *process, const struct identity *identity);
+void process_create(struct process *process);
 void process_destroy(struct process *process);
 void process_input(struct process *process, const struct event *event);
-int process_replay(const char *path);
+
+/* baseline.c */
 void baseline_route(struct process *process, const struct event *event,
     struct plug_verdict *verdict);
 void baseline_handle(struct process *process, const struct event *event);
 
-/* fakes.c */
+/* upstream.c */
 void upstream_start(struct process *process, plug_time age);
 void upstream_kill(struct process *process);
 void upstream_call(struct process *process, uint64_t id, uint32_t procedure,
@@ -246,9 +244,12 @@
 void upstream_reconnect(struct process *process);
 void upstream_event(struct event *event);
 void upstream_poll(struct process *process);
+
+/* config.c */
 struct key *config_key(const char *name);
 void config_store(const char *name, const char *data);
 void config_document(int index, bool corrupt);
+void config_rollback(int index);
 void config_members(int service);
 void config_poll(struct process *process);
 
@@ -265,7 +266,7 @@
 struct expectation *script_expectation(int line);
 
 /* verdict.c */
-void verdict_sample(void);
+void verdict_sample(struct process *process, int index);
 bool verdict_figure(const struct expectation *expect, double *value);
 
 #endif
