--- a/Makefile
+++ b/Makefile
@@ -31,13 +31,14 @@
 FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c
 HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
 	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] tests/scenario/*.[ch] \
+	tests/replay/*.[ch] \
 	bench/*.[ch])
 
 objects = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIB_OBJECTS = $(call objects,$(LIB_SOURCES))
 PROGRAM_OBJECTS = $(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES) $(CLI_SOURCES))
 
-all: $(BUILD)/plantainlug $(BUILD)/scenario
+all: $(BUILD)/plantainlug $(BUILD)/scenario $(BUILD)/replay
 
 $(BUILD)/plantainlug: $(PROGRAM_OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
@@ -50,6 +51,11 @@
 	$(BUILD)/standins/callerflow.o
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/replay: $(BUILD)/tests/replay/replay.o $(call objects,$(filter-out \
+	tests/scenario/main.c,$(SCENARIO_SOURCES))) $(LIB_OBJECTS) \
+	$(BUILD)/standins/callerflow.o
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/common.o \
 	$(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
--- a/tests/scenario/callers.c
+++ b/tests/scenario/callers.c
@@ -28,26 +28,26 @@
 static void
 send_packet(void *data, const uint8_t *packet, size_t len)
 {
-	struct caller *caller = data;
+	struct caller *c = data;
 	struct event event = {
 		.kind = AGENT(DATAGRAM), .target = -1, .len = len
 	};
 	int seen = 0;
 
-	if (caller->flow.caller.port == caller->silent_port)
+	if (c->flow.caller.port == c->silent_port)
 		return;
 	for (int i = 0; i < world.process_count; i++) {
-		const struct process *process = &world.processes[i];
+		const struct process *p = &world.processes[i];
 
-		if (process->service < 0 &&
-		    ((process->alive && !process->paused) ||
-			world.now - process->gone < FABRIC_NOTICE) &&
+		if (p->service < 0 &&
+		    ((p->alive && !p->paused) ||
+			world.now - p->gone < FABRIC_NOTICE) &&
 		    uniform() * ++seen < 1)
 			event.target = i;
 	}
 	if (event.target < 0)
 		return;
-	trace("caller%d event=send xid=%d entry=%s", caller->index,
+	trace("caller%d event=send xid=%d entry=%s", c->index,
 	    packet[PLUG_PACKET_HEADER + 2] << 8 |
 		packet[PLUG_PACKET_HEADER + 3],
 	    world.processes[event.target].name);
@@ -59,30 +59,30 @@
 static void
 settled(void *data, const struct plug_callerflow_result *result)
 {
-	struct caller *caller = data;
-	struct request *request = &world.requests[result->tag];
+	struct caller *c = data;
+	struct request *r = &world.requests[result->tag];
 	plug_time wait = result->retry_after_ms * PLUG_MSEC;
 	size_t len;
 
-	trace("caller%d event=settled outcome=%s request=%llu", caller->index,
+	trace("caller%d event=settled outcome=%s request=%llu", c->index,
 	    plug_callerflow_outcome_name(result->outcome),
 	    (unsigned long long)result->tag);
-	request->ended = world.now;
-	request->end = END_UNKNOWN;
+	r->ended = world.now;
+	r->end = END_UNKNOWN;
 	if (result->outcome == PLUG_CALLERFLOW_ANSWERED) {
 		const uint8_t *right = request_answer(result->tag, &len);
 
-		request->end = END_ANSWERED;
+		r->end = END_ANSWERED;
 		world.figures.wrong_answers +=
 		    len != result->answer.len ||
 		    memcmp(right, result->answer.data, len) != 0;
 	} else if (result->outcome == PLUG_CALLERFLOW_NOT_RUN) {
-		request->end = END_NOT_RUN;
-		world.figures.false_refusals += request->runs > 0;
+		r->end = END_NOT_RUN;
+		world.figures.false_refusals += r->runs > 0;
 		wait = wait > 0 ? wait : RETRY_DEFAULT;
-		request->retried = world.now + wait < request->deadline;
-		if (request->retried)
-			event_new(wait, EV_SUBMIT, caller->index, 0)->a =
+		r->retried = world.now + wait < r->deadline;
+		if (r->retried)
+			event_new(wait, EV_SUBMIT, c->index, 0)->a =
 			    result->tag + 1;
 	}
 }
@@ -91,23 +91,20 @@
 static void
 broken(void *data, enum plug_callerflow_reason reason)
 {
-	struct caller *caller = data;
+	struct caller *c = data;
 	struct plug_token_keys keys = { .count = 1 };
 	struct plug_token token = { 0 };
 	double *figure = &world.figures.broken_flows;
 
-	caller->reopen = true;
-	for (int i = 0; i < PLUG_TOKEN_KEY_SIZE - 1; i++)
+	c->reopen = true;
+	if (reason == PLUG_CALLERFLOW_NO_OPEN)
+		return;
+	for (int i = 0; i < PLUG_TOKEN_KEY_SIZE; i++)
 		keys.keys[0][i] = (uint8_t)i;
-	keys.keys[0][PLUG_TOKEN_KEY_SIZE - 1] = (uint8_t)caller->service;
+	keys.keys[0][PLUG_TOKEN_KEY_SIZE - 1] = (uint8_t)c->service;
+	(void)plug_token_open(c->flow.token, &keys, &token);
 	if (world.baseline) /* its token is the instance id in the clear */
-		memcpy(&token.instance, caller->flow.token,
-		    sizeof(token.instance));
-	else
-		(void)plug_token_open(caller->flow.token, &keys, &token);
-	trace("caller%d event=broken reason=%s flow=%016llx instance=%016llx",
-	    caller->index, plug_callerflow_reason_name(reason),
-	    (unsigned long long)token.flow, (unsigned long long)token.instance);
+		memcpy(&token.instance, c->flow.token, sizeof(token.instance));
 	for (int i = 0; i < world.killed_count; i++)
 		if (world.killed[i] == token.instance)
 			figure = &world.figures.lost_with_owner;
@@ -115,18 +112,20 @@
 		if (world.processes[i].instance == token.instance &&
 		    process_out(&world.processes[i]))
 			figure = &world.figures.lost_with_domain;
-	if (reason != PLUG_CALLERFLOW_NO_OPEN)
-		(*figure)++;
+	(*figure)++;
+	trace("caller%d event=broken reason=%s flow=%016llx instance=%016llx",
+	    c->index, plug_callerflow_reason_name(reason),
+	    (unsigned long long)token.flow, (unsigned long long)token.instance);
 }
 
 static void
 renew_port(void *data)
 {
-	struct caller *caller = data;
-	struct plug_endpoint address = caller->flow.caller;
+	struct caller *c = data;
+	struct plug_endpoint address = c->flow.caller;
 
 	address.port++;
-	plug_callerflow_set_caller(&caller->flow, address);
+	plug_callerflow_set_caller(&c->flow, address);
 }
 
 /* Adds a caller that keeps one flow and sends a request now and then. */
@@ -134,31 +133,31 @@
 caller_add(
     int service, plug_time from, plug_time every, const unsigned int *weights)
 {
-	struct caller *caller = &world.callers[world.caller_count];
+	struct caller *c = &world.callers[world.caller_count];
 
 	if (world.caller_count == CALLERS_MAX)
 		abort();
-	caller->index = world.caller_count++;
-	caller->service = service;
-	caller->every = every;
-	memcpy(caller->weights, weights, sizeof(caller->weights));
-	caller->client.random[0] = (unsigned short)caller->index;
-	caller->client.random[1] = (unsigned short)world.seed;
-	caller->handler = (struct plug_callerflow_handler){ caller, send_packet,
-		settled, broken, renew_port };
-	caller->reopen = true;
+	c->index = world.caller_count++;
+	c->service = service;
+	c->every = every;
+	memcpy(c->weights, weights, sizeof(c->weights));
+	c->client.random[0] = (unsigned short)c->index;
+	c->client.random[1] = (unsigned short)world.seed;
+	c->handler = (struct plug_callerflow_handler){ c, send_packet, settled,
+		broken, renew_port };
+	c->reopen = true;
 	(void)event_new(FIRST_CALL + from + seconds(uniform()), EV_CALLER_TICK,
-	    caller->index, 0);
+	    c->index, 0);
 	(void)event_new(FIRST_CALL + from + 2 * PLUG_SEC +
 			    (plug_time)(uniform() * (double)every),
-	    EV_SUBMIT, caller->index, 0);
+	    EV_SUBMIT, c->index, 0);
 }
 
 static void
-submit(struct caller *caller, uint64_t retry_of)
+submit(struct caller *c, uint64_t retry_of)
 {
 	uint64_t tag = world.request_count++;
-	struct request *request = &world.requests[tag];
+	struct request *r = &world.requests[tag];
 	const struct plug_str body = { (const char *)&tag, sizeof(tag) };
 	double point = 0;
 	uint32_t xid;
@@ -166,65 +165,63 @@
 	if (world.request_count == REQUESTS_MAX)
 		abort();
 	if (retry_of != 0) {
-		*request = world.requests[retry_of - 1];
-		request->retried = false;
-		request->runs = 0;
+		*r = world.requests[retry_of - 1];
+		r->retried = false;
+		r->runs = 0;
 	} else {
 		for (int i = 0; i < OPERATIONS; i++)
-			point += caller->weights[i];
-		for (point *= uniform();
-		     point >= caller->weights[request->operation];)
-			point -= caller->weights[request->operation++];
-		request->service = caller->service;
-		request->sent = world.now;
-		request->deadline =
-		    world.now + (request->operation == BULK ? BULK_DEADLINE
-							    : SHORT_DEADLINE);
+			point += c->weights[i];
+		for (point *= uniform(); point >= c->weights[r->operation];)
+			point -= c->weights[r->operation++];
+		r->service = c->service;
+		r->sent = world.now;
+		r->deadline =
+		    world.now +
+		    (r->operation == BULK ? BULK_DEADLINE : SHORT_DEADLINE);
 		(void)event_new(
-		    (plug_time)((0.5 + uniform()) * (double)caller->every),
-		    EV_SUBMIT, caller->index, 0);
+		    (plug_time)((0.5 + uniform()) * (double)c->every),
+		    EV_SUBMIT, c->index, 0);
 	}
-	request->end = END_NONE;
-	if (caller->flow.state != PLUG_CALLERFLOW_OPEN ||
-	    plug_callerflow_submit(&caller->flow, world.now,
-		(uint32_t)request->operation + 1, body, request->operation != 0,
-		request->deadline, tag, &xid) != PLUG_OK)
-		request->end = END_NOT_SENT;
+	r->end = END_NONE;
+	if (c->flow.state != PLUG_CALLERFLOW_OPEN ||
+	    plug_callerflow_submit(&c->flow, world.now,
+		(uint32_t)r->operation + 1, body, r->operation != 0,
+		r->deadline, tag, &xid) != PLUG_OK)
+		r->end = END_NOT_SENT;
 }
 
 static void
-tick(struct caller *caller)
+tick(struct caller *c)
 {
 	const struct plug_endpoint address = { CALLER_ADDRESS |
-						   (uint32_t)caller->index,
-		(uint16_t)(CALLER_PORT + PORTS_PER_FLOW * caller->flows) };
-
-	if (caller->reopen) {
-		if (caller->flows++ > 0)
-			plug_callerflow_finish(&caller->flow);
-		caller->reopen = false;
-		plug_callerflow_init(&caller->flow, &caller->client,
-		    &caller->handler, address,
-		    world.services[caller->service].address,
-		    (uint32_t)(caller->service + SERVICE_BASE));
-		plug_callerflow_open(&caller->flow, world.now);
+						   (uint32_t)c->index,
+		(uint16_t)(CALLER_PORT + PORTS_PER_FLOW * c->flows) };
+
+	if (c->reopen) {
+		if (c->flows++ > 0)
+			plug_callerflow_finish(&c->flow);
+		c->reopen = false;
+		plug_callerflow_init(&c->flow, &c->client, &c->handler, address,
+		    world.services[c->service].address,
+		    (uint32_t)(c->service + SERVICE_BASE));
+		plug_callerflow_open(&c->flow, world.now);
 	}
-	plug_callerflow_tick(&caller->flow, world.now);
+	plug_callerflow_tick(&c->flow, world.now);
 }
 
 /* Something happens at a caller. */
 void
 caller_event(struct event *event)
 {
-	struct caller *caller = &world.callers[event->target];
+	struct caller *c = &world.callers[event->target];
 
 	if (event->kind == EV_SUBMIT)
-		submit(caller, event->a);
+		submit(c, event->a);
 	else if (event->kind == EV_CALLER_TICK) {
-		tick(caller);
+		tick(c);
 		event_at(event, CALLER_TICK);
-	} else if (event->b == caller->flow.caller.port &&
-		   event->b != caller->silent_port)
+	} else if (event->b == c->flow.caller.port &&
+		   event->b != c->silent_port)
 		plug_callerflow_receive(
-		    &caller->flow, world.now, event->data, event->len);
+		    &c->flow, world.now, event->data, event->len);
 }
--- a/tests/scenario/config.c
+++ b/tests/scenario/config.c
@@ -84,18 +84,17 @@
 	struct event *event;
 
 	for (int i = 0; i < world.process_count; i++) {
-		const struct process *process = &world.processes[i];
-		uint32_t address = process->endpoint.address;
+		const struct process *p = &world.processes[i];
+		uint32_t address = p->endpoint.address;
 
-		if (process->alive && process->service == service)
+		if (p->alive && p->service == service)
 			list = apr_psprintf(world.pool,
 			    "%s%s{\"name\":\"%s\",\"address\":\"10.%u.%u.%u:%u"
 			    "\",\"domain\":\"d%d\",\"state\":\"%s\"}",
-			    list, list[1] == '\0' ? "" : ",", process->name,
+			    list, list[1] == '\0' ? "" : ",", p->name,
 			    address >> 16 & 255, address >> 8 & 255,
-			    address & 255, process->endpoint.port,
-			    process->domain + 1,
-			    process->leaving ? "leaving" : "live");
+			    address & 255, p->endpoint.port, p->domain + 1,
+			    p->leaving ? "leaving" : "live");
 	}
 	event =
 	    event_new(world.now == 0 ? 0 : world.list_lag, EV_PUBLISH, 0, 0);
@@ -106,15 +105,14 @@
 
 /* Answers the blocking queries of a process that have something new. */
 void
-config_poll(struct process *process)
+config_poll(struct process *p)
 {
-	const bool down =
-	    world.config_down || link_cut(process->index, PLACE_CONFIG);
+	const bool down = world.config_down || link_cut(p->index, PLACE_CONFIG);
 
 	for (int i = 0; i < world.key_count; i++) {
-		struct watch *watch = &process->watches[i];
+		struct watch *watch = &p->watches[i];
 		const struct key *key = &world.keys[i];
-		const bool stale = key->stale && process->index % 2 != 0;
+		const bool stale = key->stale && p->index % 2 != 0;
 		const uint64_t version =
 		    stale ? key->old_version : key->version;
 		const bool changed = !down && version > watch->index;
@@ -128,8 +126,7 @@
 			continue;
 		watch->asked = world.now;
 		value = event_new(2 * world.across,
-		    down ? NODE(FAILURE) : NODE(VALUE), process->index,
-		    process->epoch);
+		    down ? NODE(FAILURE) : NODE(VALUE), p->index, p->epoch);
 		value->key = key->name;
 		if (down)
 			continue;
--- a/tests/scenario/main.c
+++ b/tests/scenario/main.c
@@ -8,12 +8,11 @@
 
 /* Distance by which a value misses its bound; not positive when it holds. */
 static double
-excess(const struct expectation *expect, double value)
+excess(const struct expectation *e, double value)
 {
-	if (expect->op[0] == '=')
-		return fabs(value - expect->bound);
-	return expect->op[0] == '<' ? value - expect->bound
-				    : expect->bound - value;
+	if (e->op[0] == '=')
+		return fabs(value - e->bound);
+	return e->op[0] == '<' ? value - e->bound : e->bound - value;
 }
 
 /* Runs one seed and adds its figures; whether every expectation held. */
@@ -24,21 +23,20 @@
 
 	world_run();
 	for (int i = 0; i < lines; i++) {
-		struct expectation *expect = script_expectation(i);
+		struct expectation *e = script_expectation(i);
 		double value;
 
-		if (expect == NULL || !verdict_figure(expect, &value))
+		if (e == NULL || !verdict_figure(e, &value))
 			continue;
-		if (first ||
-		    excess(expect, value) > excess(expect, expect->worst))
-			expect->worst = value;
-		expect->sum += value;
-		if (excess(expect, value) <= 0)
+		if (first || excess(e, value) > excess(e, e->worst))
+			e->worst = value;
+		e->sum += value;
+		if (excess(e, value) <= 0)
 			continue;
 		good = false;
-		(void)snprintf(expect->seeds + strlen(expect->seeds),
-		    sizeof(expect->seeds) - strlen(expect->seeds), "%s%llu",
-		    expect->seeds[0] == '\0' ? "" : ",",
+		(void)snprintf(e->seeds + strlen(e->seeds),
+		    sizeof(e->seeds) - strlen(e->seeds), "%s%llu",
+		    e->seeds[0] == '\0' ? "" : ",",
 		    (unsigned long long)world.seed);
 	}
 	world_finish();
@@ -46,17 +44,16 @@
 }
 
 static void
-report(const struct expectation *expect, bool values)
+report(const struct expectation *e, bool values)
 {
-	const bool failed = expect->seeds[0] != '\0';
+	const bool failed = e->seeds[0] != '\0';
 
-	printf("event=result metric=%s bound=%s%g from=%g result=%s",
-	    expect->metric, expect->op, expect->bound, expect->from,
-	    failed ? "fail" : "pass");
+	printf("event=result metric=%s bound=%s%g from=%g result=%s", e->metric,
+	    e->op, e->bound, e->from, failed ? "fail" : "pass");
 	if (values || failed)
-		printf(" worst=%.6g", expect->worst);
+		printf(" worst=%.6g", e->worst);
 	if (failed)
-		printf(" failing_seeds=%s", expect->seeds);
+		printf(" failing_seeds=%s", e->seeds);
 	printf("\n");
 }
 
@@ -97,15 +94,13 @@
 		failed += !run_seed(lines, seed == from);
 	}
 	for (int i = 0; i < lines; i++) {
-		const struct expectation *expect = script_expectation(i);
+		const struct expectation *e = script_expectation(i);
 
-		if (expect != NULL && measure)
-			printf("metric=%s mean=%.6g worst=%.6g\n",
-			    expect->metric,
-			    expect->sum / (double)(to - from + 1),
-			    expect->worst);
-		else if (expect != NULL)
-			report(expect, values);
+		if (e != NULL && measure)
+			printf("metric=%s mean=%.6g worst=%.6g\n", e->metric,
+			    e->sum / (double)(to - from + 1), e->worst);
+		else if (e != NULL)
+			report(e, values);
 	}
 	if (!measure)
 		printf("event=summary seeds=%llu failed=%u\n", to - from + 1,
--- a/tests/scenario/process.c
+++ b/tests/scenario/process.c
@@ -1,11 +1,11 @@
 #include "world.h"
 
 static void
-set_watch(struct process *process, const struct plug_action *action)
+set_watch(struct process *p, const struct plug_action *action)
 {
 	const struct key *key = config_key(apr_pstrmemdup(
 	    world.pool, action->watch.key.data, action->watch.key.len));
-	struct watch *watch = &process->watches[key - world.keys];
+	struct watch *watch = &p->watches[key - world.keys];
 
 	watch->active = action->kind == PLUG_ACTION_WATCH;
 	watch->index = action->watch.index;
@@ -13,19 +13,19 @@
 }
 
 static void
-send_to(struct process *process, enum link_class class,
-    struct plug_endpoint target, struct event *event)
+send_to(struct process *p, enum link_class class, struct plug_endpoint target,
+    struct event *event)
 {
 	struct plug_reply reply;
 
 	if (target.port == FABRIC_PORT) {
-		if (process->mute || plug_packet_decode_reply(event->data,
-					 event->len, &reply, NULL) != PLUG_OK)
+		if (p->mute || plug_packet_decode_reply(event->data, event->len,
+				   &reply, NULL) != PLUG_OK)
 			return;
 		event->kind = EV_PACKET;
 		event->target = (int)(reply.caller.address & 0xffff);
 		event->b = reply.caller.port;
-		link_send(LINK_CALLER, process->index, PLACE_CALLERS, event);
+		link_send(LINK_CALLER, p->index, PLACE_CALLERS, event);
 		return;
 	}
 	for (int i = 0; i < world.process_count; i++) {
@@ -33,35 +33,35 @@
 		event->epoch = world.processes[i].epoch;
 		if (world.processes[i].alive &&
 		    plug_endpoint_equal(world.processes[i].endpoint, target))
-			link_send(class, process->index, i, event);
+			link_send(class, p->index, i, event);
 	}
 }
 
 static void
-set_view(struct process *process, struct plug_view *view)
+set_view(struct process *p, struct plug_view *view)
 {
 	const struct plug_agent_event event = { .kind = PLUG_AGENT_VIEW,
 		.view = view };
 
-	plug_view_release(process->view);
-	process->view = plug_view_reference(view);
-	if (process->agent != NULL)
-		plug_agent_handle(process->agent, world.now, &event);
+	plug_view_release(p->view);
+	p->view = plug_view_reference(view);
+	if (p->agent != NULL)
+		plug_agent_handle(p->agent, world.now, &event);
 }
 
 static void
 emit(void *data, const struct plug_action *action)
 {
-	struct process *process = data;
+	struct process *p = data;
 	struct event event = { .kind = AGENT(DATAGRAM),
 		.data = (uint8_t *)action->datagram.data,
 		.len = action->datagram.len };
 
-	if (world.tap != NULL && world.tap(process, action))
+	if (world.tap != NULL && world.tap(p, action))
 		return;
 	switch (action->kind) {
 	case PLUG_ACTION_DATAGRAM:
-		send_to(process, LINK_DATA, action->datagram.target, &event);
+		send_to(p, LINK_DATA, action->datagram.target, &event);
 		break;
 	case PLUG_ACTION_PEER:
 		event.kind = NODE(PEER);
@@ -69,97 +69,97 @@
 		    plug__message__get_packed_size(action->peer.message);
 		event.data = apr_palloc(world.pool, event.len + 1);
 		(void)plug__message__pack(action->peer.message, event.data);
-		send_to(process, LINK_CONTROL, action->peer.target, &event);
+		send_to(p, LINK_CONTROL, action->peer.target, &event);
 		break;
 	case PLUG_ACTION_WATCH:
 	case PLUG_ACTION_UNWATCH:
-		set_watch(process, action);
+		set_watch(p, action);
 		break;
 	case PLUG_ACTION_VIEW:
-		set_view(process, action->view);
+		set_view(p, action->view);
 		break;
 	case PLUG_ACTION_UPSTREAM_CALL:
-		upstream_call(process, action->upstream.id,
+		upstream_call(p, action->upstream.id,
 		    action->upstream.procedure, action->upstream.body);
 		break;
 	case PLUG_ACTION_UPSTREAM_CANCEL: /* work starts on arrival */
 		break;
 	case PLUG_ACTION_UPSTREAM_RECONNECT:
-		upstream_reconnect(process);
+		upstream_reconnect(p);
 		break;
 	case PLUG_ACTION_FABRIC_RENEW:
-		process->mute = false;
+		p->mute = false;
 		break;
 	case PLUG_ACTION_STOPPED:
-		process->stopped = true;
+		p->stopped = true;
 	}
 }
 
 static void
 log_line(void *data, enum plug_log_level level, struct plug_str line)
 {
-	const struct process *process = data;
+	const struct process *p = data;
 
 	if (level <= PLUG_LOG_DEBUG)
-		trace("%s %.*s", process->name, (int)line.len, line.data);
+		trace("%s %.*s", p->name, (int)line.len, line.data);
 }
 
 /* Builds the decision objects of a process whose fields are set. */
 void
-process_create(struct process *process)
+process_create(struct process *p)
 {
-	const struct plug_endpoint fabric = { (uint32_t)process->domain,
+	const struct plug_endpoint fabric = { (uint32_t)p->domain,
 		FABRIC_PORT };
-	const uint32_t domain = plug_domain_hash(plug_str_from(
-	    apr_psprintf(world.pool, "d%d", process->domain + 1)));
-	const bool entry = process->service < 0;
+	const uint32_t domain = plug_domain_hash(
+	    plug_str_from(apr_psprintf(world.pool, "d%d", p->domain + 1)));
+	const bool entry = p->service < 0;
 	const uint32_t service =
-	    entry ? 0 : (uint32_t)process->service + SERVICE_BASE;
-	const struct plug_node_config node = { process->instance,
-		process->endpoint, domain, service,
-		plug_str_from(
-		    entry ? "" : world.services[process->service].name),
-		process->seeds, process->seed_count };
-	const struct plug_agent_config agent = { process->instance,
-		process->endpoint, domain, service, fabric };
-	struct plug_client *client = &process->client;
+	    entry ? 0 : (uint32_t)p->service + SERVICE_BASE;
+	const struct plug_node_config node = { p->instance, p->endpoint, domain,
+		service,
+		plug_str_from(entry ? "" : world.services[p->service].name),
+		p->seeds, p->seed_count };
+	const struct plug_agent_config agent = { p->instance, p->endpoint,
+		domain, service, fabric };
+	struct plug_client *client = &p->client;
 
+	if (world.record != NULL)
+		world.record(p, NULL);
 	client->emit = emit;
 	client->log = log_line;
-	client->emit_data = client->log_data = process;
-	plug_router_init(&process->router, client, domain);
+	client->emit_data = client->log_data = p;
+	plug_router_init(&p->router, client, domain);
 	if (!entry && !world.baseline)
-		process->agent = plug_agent_create(client, &agent, world.now);
-	process->node = plug_node_create(client, &node, world.now);
+		p->agent = plug_agent_create(client, &agent, world.now);
+	p->node = plug_node_create(client, &node, world.now);
 }
 
 /* Frees the decision objects of a process. */
 void
-process_destroy(struct process *process)
+process_destroy(struct process *p)
 {
-	if (process->agent != NULL)
-		plug_agent_destroy(process->agent);
-	if (process->node != NULL)
-		plug_node_destroy(process->node);
-	plug_view_release(process->view);
-	process->agent = NULL;
-	process->node = NULL;
-	process->view = NULL;
-	memset(process->watches, 0, sizeof(process->watches));
+	if (p->agent != NULL)
+		plug_agent_destroy(p->agent);
+	if (p->node != NULL)
+		plug_node_destroy(p->node);
+	plug_view_release(p->view);
+	p->agent = NULL;
+	p->node = NULL;
+	p->view = NULL;
+	memset(p->watches, 0, sizeof(p->watches));
 }
 
 static void
-route_packet(struct process *process, const struct event *event, bool usable)
+route_packet(struct process *p, const struct event *event, bool usable)
 {
 	struct plug_action action = { .kind = PLUG_ACTION_DATAGRAM };
 	struct plug_verdict verdict;
 
 	if (world.baseline)
-		baseline_route(process, event, &verdict);
+		baseline_route(p, event, &verdict);
 	else
-		plug_router_decide(&process->router,
-		    usable ? process->view : NULL, event->data, event->len,
-		    &verdict);
+		plug_router_decide(&p->router, usable ? p->view : NULL,
+		    event->data, event->len, &verdict);
 	action.datagram.target = verdict.target;
 	action.datagram.data = event->data;
 	action.datagram.len = event->len;
@@ -169,22 +169,22 @@
 		action.datagram.len = verdict.reply_len;
 	}
 	if (verdict.kind != PLUG_VERDICT_DROP)
-		emit(process, &action);
+		emit(p, &action);
 }
 
 /* Feeds one input to the decision code of a process. */
 void
-process_input(struct process *process, const struct event *event)
+process_input(struct process *p, const struct event *event)
 {
 	const struct plug_str data = { (char *)event->data, event->len };
 	struct plug_node_event node = { .kind = event->kind - IN_NODE };
 	struct plug_agent_event agent = { .kind = event->kind - IN_AGENT };
 	bool to_agent = event->kind >= IN_AGENT;
-	const bool usable = plug_node_confirmed(process->node, world.now);
+	const bool usable = plug_node_confirmed(p->node, world.now);
 	Plug__Message *message = NULL;
 
 	if (world.record != NULL)
-		world.record(process, event);
+		world.record(p, event);
 	if (event->kind == NODE(PEER)) {
 		message = plug__message__unpack(NULL, event->len, event->data);
 		if (message == NULL)
@@ -211,13 +211,12 @@
 		agent.health.load = event->load;
 	}
 	if (!to_agent)
-		plug_node_handle(process->node, world.now, &node);
-	else if (process->service < 0 && event->kind == AGENT(DATAGRAM))
-		route_packet(process, event, usable);
+		plug_node_handle(p->node, world.now, &node);
+	else if (p->service < 0 && event->kind == AGENT(DATAGRAM))
+		route_packet(p, event, usable);
 	else if (world.baseline)
-		baseline_handle(process, event);
-	else if (process->agent != NULL &&
-		 (usable || event->kind != AGENT(DATAGRAM)))
-		plug_agent_handle(process->agent, world.now, &agent);
+		baseline_handle(p, event);
+	else if (p->agent != NULL && (usable || event->kind != AGENT(DATAGRAM)))
+		plug_agent_handle(p->agent, world.now, &agent);
 	plug__message__free_unpacked(message, NULL);
 }
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -174,38 +174,38 @@
 
 /* Stops gracefully; the instance list shows an agent as leaving. */
 static void
-stop(struct process *process)
+stop(struct process *p)
 {
-	if (process->service < 0) {
-		process_end(process, false);
+	if (p->service < 0) {
+		process_end(p, false);
 		return;
 	}
-	process->leaving = true;
-	process->leave_time = world.now;
-	config_members(process->service);
-	(void)event_new(0, AGENT(STOP), process->index, process->epoch);
+	p->leaving = true;
+	p->leave_time = world.now;
+	config_members(p->service);
+	(void)event_new(0, AGENT(STOP), p->index, p->epoch);
 }
 
 static void
 read_expectation(void)
 {
-	struct expectation *expect = &lines[current].expect;
+	struct expectation *e = &lines[current].expect;
 	double value;
 
-	if (expect->metric != NULL)
+	if (e->metric != NULL)
 		return;
 	if (!is(2, "==") && !is(2, "<=") && !is(2, ">="))
 		fail("unknown comparison", words[2]);
-	expect->metric = strdup(words[1]);
-	expect->op = strdup(words[2]);
-	expect->bound = arg.number;
-	expect->from = option_number("from", 0);
-	expect->to = option_number("to", SECONDS_MAX);
-	expect->base_from = option_number("base_from", 0);
-	expect->base_to = option_number("base_to", 0);
-	expect->service =
+	e->metric = strdup(words[1]);
+	e->op = strdup(words[2]);
+	e->bound = arg.number;
+	e->from = option_number("from", 0);
+	e->to = option_number("to", SECONDS_MAX);
+	e->base_from = option_number("base_from", 0);
+	e->base_to = option_number("base_to", 0);
+	e->service =
 	    option("service") == NULL ? -1 : find_service(option("service"));
-	if (!verdict_figure(expect, &value))
+	if (!verdict_figure(e, &value))
 		fail("unknown figure", words[1]);
 }
 
@@ -291,46 +291,46 @@
 static void
 change_process(void)
 {
-	struct process *process = arg.process;
-	struct upstream *upstream = &process->upstream;
+	struct process *p = arg.process;
+	struct upstream *u = &p->upstream;
 	const bool alone = is(1, "upstream"), host = alone || is(1, "host");
 
 	if (is(0, "start")) {
-		if (host && !upstream->alive)
-			upstream_start(process, 0);
+		if (host && !u->alive)
+			upstream_start(p, 0);
 		if (!alone)
-			process_start(process);
+			process_start(p);
 	} else if (is(0, "kill") || is(0, "reuse")) {
 		if (host || is(0, "reuse"))
-			upstream_kill(process);
+			upstream_kill(p);
 		if (!alone)
-			process_end(process, true);
+			process_end(p, true);
 	} else if (is(0, "stop"))
-		stop(process);
+		stop(p);
 	else if (is(0, "pause")) {
-		process->paused = process->alive;
-		process->gone = world.now;
+		p->paused = p->alive;
+		p->gone = world.now;
 	} else if (is(0, "resume"))
-		process_resume(process);
+		process_resume(p);
 	else if (is(0, "cold")) {
-		upstream->started = world.now;
-		upstream->unannounced = true;
-		upstream->told = 0;
+		u->started = world.now;
+		u->unannounced = true;
+		u->told = 0;
 	} else if (is(0, "drain")) {
-		upstream->draining = true;
-		process->leave_time = world.now;
+		u->draining = true;
+		p->leave_time = world.now;
 	} else if (is(0, "health")) {
-		upstream->lie = option_number("lie", -1);
-		upstream->lag = seconds(option_number("lag", 0));
+		u->lie = option_number("lie", -1);
+		u->lag = seconds(option_number("lag", 0));
 	} else if (is(0, "silence"))
-		upstream->silent = upstream->connection;
+		u->silent = u->connection;
 	else if (is(0, "silence-fabric"))
-		process->mute = true;
+		p->mute = true;
 	if (is(0, "reuse")) { /* by a new agent of another service */
-		process = process_add(words[3], 0, process->domain, arg.service,
-		    process->endpoint.address);
-		upstream_start(process, 0);
-		process_start(process);
+		p = process_add(
+		    words[3], 0, p->domain, arg.service, p->endpoint.address);
+		upstream_start(p, 0);
+		process_start(p);
 	}
 }
 
--- a/tests/scenario/upstream.c
+++ b/tests/scenario/upstream.c
@@ -9,51 +9,51 @@
 #define BULK_TIME     (200 * PLUG_MSEC)
 
 static struct event *
-tell(const struct process *process, int kind)
+tell(const struct process *p, int kind)
 {
-	return event_new(LOOPBACK, kind, process->index, process->epoch);
+	return event_new(LOOPBACK, kind, p->index, p->epoch);
 }
 
 /* Closes the agent's connection and opens a new one. */
 void
-upstream_reconnect(struct process *process)
+upstream_reconnect(struct process *p)
 {
-	if (process->upstream.connection != 0)
-		(void)tell(process, AGENT(UPSTREAM_CLOSED));
-	process->upstream.connection = 0;
-	(void)tell(process, EV_CONNECT);
+	if (p->upstream.connection != 0)
+		(void)tell(p, AGENT(UPSTREAM_CLOSED));
+	p->upstream.connection = 0;
+	(void)tell(p, EV_CONNECT);
 }
 
 /* Starts an upstream that has been warm for an age. */
 void
-upstream_start(struct process *process, plug_time age)
+upstream_start(struct process *p, plug_time age)
 {
-	process->upstream.alive = true;
-	process->upstream.draining = false;
-	process->upstream.running = 0;
-	process->upstream.started = world.now - age;
-	process->upstream.epoch = ++world.seq;
-	process->leave_time = 0;
-	upstream_reconnect(process);
+	p->upstream.alive = true;
+	p->upstream.draining = false;
+	p->upstream.running = 0;
+	p->upstream.started = world.now - age;
+	p->upstream.epoch = ++world.seq;
+	p->leave_time = 0;
+	upstream_reconnect(p);
 }
 
 /* Ends an upstream with everything that it runs. */
 void
-upstream_kill(struct process *process)
+upstream_kill(struct process *p)
 {
-	process->upstream.alive = false;
-	process->upstream.epoch = ++world.seq;
-	upstream_reconnect(process);
+	p->upstream.alive = false;
+	p->upstream.epoch = ++world.seq;
+	upstream_reconnect(p);
 }
 
 /* Carries a request from an agent to its upstream. */
 void
-upstream_call(struct process *process, uint64_t id, uint32_t procedure,
-    struct plug_str body)
+upstream_call(
+    struct process *p, uint64_t id, uint32_t procedure, struct plug_str body)
 {
-	struct event *call = tell(process, EV_CALL);
+	struct event *call = tell(p, EV_CALL);
 
-	call->epoch = process->upstream.connection;
+	call->epoch = p->upstream.connection;
 	call->a = id;
 	call->b = procedure;
 	call->data = apr_pmemdup(world.pool, body.data, body.len);
@@ -61,10 +61,10 @@
 }
 
 static unsigned int
-bearable(const struct process *process)
+bearable(const struct process *p)
 {
-	plug_time age = world.now - process->upstream.started;
-	unsigned int slots = world.services[process->service].slots;
+	plug_time age = world.now - p->upstream.started;
+	unsigned int slots = world.services[p->service].slots;
 
 	return age >= COLD_TIME
 		   ? slots
@@ -73,25 +73,25 @@
 
 /* Refuses work that it can't bear; a first surprise is not held against it. */
 static void
-shed(struct process *process, uint64_t id)
+shed(struct process *p, uint64_t id)
 {
-	struct upstream *upstream = &process->upstream;
-	struct event *reply = tell(process, AGENT(UPSTREAM_REPLY));
+	struct upstream *u = &p->upstream;
+	struct event *reply = tell(p, AGENT(UPSTREAM_REPLY));
 
 	reply->a = id;
 	reply->b = PLUG_UPSTREAM_SHED;
 	world.figures.overload +=
-	    !upstream->unannounced ||
-	    (upstream->told > 0 && world.now - upstream->told > SIGN_GRACE);
-	if (upstream->told == 0)
-		upstream->told = world.now;
+	    !u->unannounced ||
+	    (u->told > 0 && world.now - u->told > SIGN_GRACE);
+	if (u->told == 0)
+		u->told = world.now;
 }
 
 static void
-run_call(struct process *process, const struct event *call)
+run_call(struct process *p, const struct event *call)
 {
-	struct upstream *upstream = &process->upstream;
-	struct request *request;
+	struct upstream *u = &p->upstream;
+	struct request *r;
 	struct event *end;
 	uint64_t tag;
 	double took;
@@ -99,45 +99,41 @@
 	if (call->len != sizeof(tag))
 		return;
 	memcpy(&tag, call->data, sizeof(tag));
-	request = &world.requests[tag];
-	world.figures.foreign_work += request->service != process->service;
+	r = &world.requests[tag];
+	world.figures.foreign_work += r->service != p->service;
 	world.figures.late_work +=
-	    process->leave_time > 0 &&
-	    world.now - process->leave_time > LEAVE_BOUND;
-	if (upstream->running >= bearable(process)) {
-		shed(process, call->a);
+	    p->leave_time > 0 && world.now - p->leave_time > LEAVE_BOUND;
+	if (u->running >= bearable(p)) {
+		shed(p, call->a);
 		return;
 	}
-	upstream->running++;
+	u->running++;
 	world.figures.runs++;
-	world.figures.repeated_runs += request->runs > 0;
-	world.figures.duplicate_runs +=
-	    request->runs > 0 && request->operation == 0;
-	world.figures.false_refusals +=
-	    request->runs == 0 && request->end == END_NOT_RUN;
-	request->runs++;
-	took = (request->operation == BULK ? BULK_TIME : SHORT_TIME) *
-	       (0.5 + uniform());
-	upstream->busy[world.now / PLUG_SEC] += (float)took;
-	end = event_new(
-	    (plug_time)took, EV_WORK_END, call->target, upstream->epoch);
+	world.figures.repeated_runs += r->runs > 0;
+	world.figures.duplicate_runs += r->runs > 0 && r->operation == 0;
+	world.figures.false_refusals += r->runs == 0 && r->end == END_NOT_RUN;
+	r->runs++;
+	took =
+	    (r->operation == BULK ? BULK_TIME : SHORT_TIME) * (0.5 + uniform());
+	u->busy[world.now / PLUG_SEC] += (float)took;
+	end = event_new((plug_time)took, EV_WORK_END, call->target, u->epoch);
 	end->a = call->a;
-	end->b = upstream->connection;
+	end->b = u->connection;
 	end->data = request_answer(tag, &end->len);
 }
 
 static void
-end_call(struct process *process, struct event *event)
+end_call(struct process *p, struct event *event)
 {
-	struct upstream *upstream = &process->upstream;
+	struct upstream *u = &p->upstream;
 
-	if (upstream->epoch != event->epoch)
+	if (u->epoch != event->epoch)
 		return;
-	upstream->running--;
-	if (upstream->connection != event->b || upstream->silent == event->b)
+	u->running--;
+	if (u->connection != event->b || u->silent == event->b)
 		return;
 	event->kind = AGENT(UPSTREAM_REPLY);
-	event->epoch = process->epoch;
+	event->epoch = p->epoch;
 	event->b = PLUG_UPSTREAM_DONE;
 	event_at(event, LOOPBACK);
 }
@@ -146,51 +142,47 @@
 void
 upstream_event(struct event *event)
 {
-	struct process *process = &world.processes[event->target];
-	struct upstream *upstream = &process->upstream;
+	struct process *p = &world.processes[event->target];
+	struct upstream *u = &p->upstream;
 
 	if (event->kind == EV_WORK_END)
-		end_call(process, event);
+		end_call(p, event);
 	else if (event->kind == EV_CALL) {
-		if (!upstream->alive || event->epoch == 0 ||
-		    event->epoch != upstream->connection ||
-		    event->epoch == upstream->silent)
+		if (!u->alive || event->epoch == 0 ||
+		    event->epoch != u->connection || event->epoch == u->silent)
 			return;
 		if (event->b == PLUG_PROCEDURE_NULL)
-			tell(process, AGENT(UPSTREAM_REPLY))->a = event->a;
+			tell(p, AGENT(UPSTREAM_REPLY))->a = event->a;
 		else
-			run_call(process, event);
-	} else if (process->alive && process->epoch == event->epoch &&
-		   upstream->connection == 0) {
-		if (!upstream->alive) {
+			run_call(p, event);
+	} else if (p->alive && p->epoch == event->epoch && u->connection == 0) {
+		if (!u->alive) {
 			event_at(event, CONNECT_EVERY);
 			return;
 		}
-		upstream->connection = ++world.seq;
-		(void)tell(process, AGENT(UPSTREAM_OPEN));
+		u->connection = ++world.seq;
+		(void)tell(p, AGENT(UPSTREAM_OPEN));
 	}
 }
 
 /* The agent's driver reads the health endpoint. */
 void
-upstream_poll(struct process *process)
+upstream_poll(struct process *p)
 {
-	const struct upstream *upstream = &process->upstream;
-	plug_time then = world.now - upstream->lag;
-	plug_time uptime = then - upstream->started;
+	const struct upstream *u = &p->upstream;
+	plug_time then = world.now - u->lag;
+	plug_time uptime = then - u->started;
 	struct event *health;
 
-	if (upstream->connection == 0 ||
-	    upstream->connection == upstream->silent)
+	if (u->connection == 0 || u->connection == u->silent)
 		return;
-	health = tell(process, AGENT(UPSTREAM_HEALTH));
+	health = tell(p, AGENT(UPSTREAM_HEALTH));
 	uptime = uptime < 0 ? LONG_UPTIME : uptime;
 	health->a = (uint64_t)(uptime / PLUG_SEC);
-	health->b = upstream->draining;
+	health->b = u->draining;
 	if (then >= PLUG_SEC)
-		health->load = upstream->busy[then / PLUG_SEC - 1] /
-			       (double)PLUG_SEC /
-			       world.services[process->service].slots;
-	if (upstream->lie >= 0)
-		health->load = upstream->lie;
+		health->load = u->busy[then / PLUG_SEC - 1] / (double)PLUG_SEC /
+			       world.services[p->service].slots;
+	if (u->lie >= 0)
+		health->load = u->lie;
 }
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -110,10 +110,9 @@
 
 /* Whether the process's domain is taken out for its service. */
 bool
-process_out(const struct process *process)
+process_out(const struct process *p)
 {
-	return process->service >= 0 &&
-	       world.services[process->service].out[process->domain];
+	return p->service >= 0 && world.services[p->service].out[p->domain];
 }
 
 /* Adds a process that is not running yet; number 0 is not in its name. */
@@ -121,131 +120,131 @@
 process_add(
     const char *name, int number, int domain, int service, uint32_t address)
 {
-	struct process *process = &world.processes[world.process_count];
+	struct process *p = &world.processes[world.process_count];
 
 	if (world.process_count == PROCESSES_MAX)
 		abort();
-	process->name =
+	p->name =
 	    number == 0 ? name : apr_psprintf(world.pool, "%s%d", name, number);
-	process->index = world.process_count++;
-	process->domain = domain;
-	process->service = service;
-	process->endpoint = (struct plug_endpoint){ address, 7000 };
-	process->upstream.lie = -1;
-	process->held = apr_array_make(world.pool, 16, sizeof(struct event *));
-	return process;
+	p->index = world.process_count++;
+	p->domain = domain;
+	p->service = service;
+	p->endpoint = (struct plug_endpoint){ address, 7000 };
+	p->upstream.lie = -1;
+	p->held = apr_array_make(world.pool, 16, sizeof(struct event *));
+	return p;
 }
 
 static void
-start_ticks(const struct process *process)
+start_ticks(const struct process *p)
 {
-	(void)event_new(0, NODE(TICK), process->index, process->epoch);
-	if (process->agent != NULL)
-		(void)event_new(0, AGENT(TICK), process->index, process->epoch);
+	(void)event_new(0, NODE(TICK), p->index, p->epoch);
+	if (p->agent != NULL)
+		(void)event_new(0, AGENT(TICK), p->index, p->epoch);
 }
 
 /* Starts a process with an empty memory and a new instance id. */
 void
-process_start(struct process *process)
+process_start(struct process *p)
 {
-	if (process->alive)
+	if (p->alive)
 		return;
-	process->seed_count = 0;
+	p->seed_count = 0;
 	for (int i = 0; i < world.process_count; i++)
-		if (i != process->index && world.processes[i].service < 0 &&
-		    process->seed_count < SEEDS)
-			process->seeds[process->seed_count++] =
-			    world.processes[i].endpoint;
-	process->alive = true;
-	process->leaving = process->stopped = false;
-	process->leave_time = 0;
-	process->since = world.now;
-	process->epoch = ++world.seq;
-	process->instance = process->epoch << 32 | 1;
+		if (i != p->index && world.processes[i].service < 0 &&
+		    p->seed_count < SEEDS)
+			p->seeds[p->seed_count++] = world.processes[i].endpoint;
+	p->alive = true;
+	p->leaving = p->stopped = false;
+	p->leave_time = 0;
+	p->since = world.now;
+	p->epoch = ++world.seq;
+	p->instance = p->epoch << 32 | 1;
 	for (int i = 0; i < 3; i++)
-		process->client.random[i] = (unsigned short)(uniform() * 65536);
-	memset(process->seen, 0, sizeof(process->seen));
-	process_create(process);
-	start_ticks(process);
-	config_members(process->service);
-	if (process->upstream.alive)
-		upstream_reconnect(process);
+		p->client.random[i] = (unsigned short)(uniform() * 65536);
+	memset(p->seen, 0, sizeof(p->seen));
+	process_create(p);
+	start_ticks(p);
+	config_members(p->service);
+	if (p->upstream.alive)
+		upstream_reconnect(p);
 }
 
 /* Ends a process at once; its upstream is not touched. */
 void
-process_end(struct process *process, bool crash)
+process_end(struct process *p, bool crash)
 {
-	if (!process->alive)
+	if (!p->alive)
 		return;
 	if (crash && world.killed_count < KILLED_MAX)
-		world.killed[world.killed_count++] = process->instance;
-	process_destroy(process);
-	apr_array_clear(process->held);
-	process->alive = process->paused = process->mute = false;
-	process->gone = crash ? world.now : -PLUG_SEC * SECONDS_MAX;
-	process->epoch = ++world.seq;
-	process->upstream.connection = 0;
-	config_members(process->service);
+		world.killed[world.killed_count++] = p->instance;
+	process_destroy(p);
+	apr_array_clear(p->held);
+	p->alive = p->paused = p->mute = false;
+	p->gone = crash ? world.now : -PLUG_SEC * SECONDS_MAX;
+	p->epoch = ++world.seq;
+	p->upstream.connection = 0;
+	config_members(p->service);
 }
 
 /* Continues a paused process; what waited in its sockets comes first. */
 void
-process_resume(struct process *process)
+process_resume(struct process *p)
 {
-	if (!process->paused)
+	if (!p->paused)
 		return;
-	process->paused = false;
-	process->since = world.now;
-	for (int i = 0; i < process->held->nelts; i++)
-		event_at(APR_ARRAY_IDX(process->held, i, struct event *), 0);
-	apr_array_clear(process->held);
-	start_ticks(process);
+	p->paused = false;
+	p->since = world.now;
+	for (int i = 0; i < p->held->nelts; i++)
+		event_at(APR_ARRAY_IDX(p->held, i, struct event *), 0);
+	apr_array_clear(p->held);
+	start_ticks(p);
 }
 
 static void
 run_input(struct event *event)
 {
-	struct process *process = &world.processes[event->target];
+	struct process *p = &world.processes[event->target];
 	double *silent = &world.figures.domain_silent_after, late;
 
-	if (!process->alive || event->epoch != process->epoch)
+	if (!p->alive || event->epoch != p->epoch)
 		return;
-	if (process->paused) {
+	if (p->paused) {
 		if (event->kind != AGENT(TICK) && event->kind != NODE(TICK) &&
-		    process->held->nelts < HELD_MAX)
-			APR_ARRAY_PUSH(process->held, struct event *) = event;
+		    p->held->nelts < HELD_MAX)
+			APR_ARRAY_PUSH(p->held, struct event *) = event;
 		return;
 	}
-	if (event->kind == AGENT(DATAGRAM) && process_out(process)) {
-		late = (double)(world.now - world.services[process->service]
-						.out_since[process->domain]) /
-		       (double)PLUG_SEC;
+	if (event->kind == AGENT(DATAGRAM) && process_out(p)) {
+		late =
+		    (double)(world.now -
+			     world.services[p->service].out_since[p->domain]) /
+		    (double)PLUG_SEC;
 		world.figures.late_packets += late > OUT_BOUND;
 		*silent = fmax(*silent, late);
 	}
-	process_input(process, event);
+	process_input(p, event);
 	if (event->kind == NODE(TICK))
 		event_at(event, NODE_TICK);
 	else if (event->kind == AGENT(TICK))
 		event_at(event, AGENT_TICK);
-	if (process->stopped)
-		process_end(process, false);
+	if (p->stopped)
+		process_end(p, false);
 }
 
 static void
 run_sample(struct event *event)
 {
 	for (int i = 0; i < world.process_count; i++) {
-		struct process *process = &world.processes[i];
+		struct process *p = &world.processes[i];
 
-		if (!process->alive || process->paused)
+		if (!p->alive || p->paused)
 			continue;
-		config_poll(process);
-		if (world.now % HEALTH_EVERY == 0 && process->upstream.alive)
-			upstream_poll(process);
+		config_poll(p);
+		if (world.now % HEALTH_EVERY == 0 && p->upstream.alive)
+			upstream_poll(p);
 		for (int k = 0; k < world.key_count; k++)
-			verdict_sample(process, k);
+			verdict_sample(p, k);
 	}
 	event_at(event, NODE_TICK);
 }
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -203,8 +203,8 @@
 	size_t request_count;
 	struct figures figures;
 	/* Hooks of tests/replay; tap returns true to stop an action. */
-	void (*record)(struct process *process, const struct event *event);
-	bool (*tap)(struct process *process, const struct plug_action *action);
+	void (*record)(struct process *p, const struct event *event);
+	bool (*tap)(struct process *p, const struct plug_action *action);
 };
 extern struct world world;
 
@@ -217,33 +217,33 @@
 bool link_cut(int from, int to);
 void
 link_send(enum link_class class, int from, int to, const struct event *event);
-bool process_out(const struct process *process);
+bool process_out(const struct process *p);
 struct process *process_add(
     const char *name, int number, int domain, int service, uint32_t address);
-void process_start(struct process *process);
-void process_end(struct process *process, bool crash);
-void process_resume(struct process *process);
+void process_start(struct process *p);
+void process_end(struct process *p, bool crash);
+void process_resume(struct process *p);
 void world_run(void);
 void world_finish(void);
 
 /* process.c */
-void process_create(struct process *process);
-void process_destroy(struct process *process);
-void process_input(struct process *process, const struct event *event);
+void process_create(struct process *p);
+void process_destroy(struct process *p);
+void process_input(struct process *p, const struct event *event);
 
 /* baseline.c */
-void baseline_route(struct process *process, const struct event *event,
-    struct plug_verdict *verdict);
-void baseline_handle(struct process *process, const struct event *event);
+void baseline_route(
+    struct process *p, const struct event *event, struct plug_verdict *verdict);
+void baseline_handle(struct process *p, const struct event *event);
 
 /* upstream.c */
-void upstream_start(struct process *process, plug_time age);
-void upstream_kill(struct process *process);
-void upstream_call(struct process *process, uint64_t id, uint32_t procedure,
-    struct plug_str body);
-void upstream_reconnect(struct process *process);
+void upstream_start(struct process *p, plug_time age);
+void upstream_kill(struct process *p);
+void upstream_call(
+    struct process *p, uint64_t id, uint32_t procedure, struct plug_str body);
+void upstream_reconnect(struct process *p);
 void upstream_event(struct event *event);
-void upstream_poll(struct process *process);
+void upstream_poll(struct process *p);
 
 /* config.c */
 struct key *config_key(const char *name);
@@ -251,7 +251,7 @@
 void config_document(int index, bool corrupt);
 void config_rollback(int index);
 void config_members(int service);
-void config_poll(struct process *process);
+void config_poll(struct process *p);
 
 /* callers.c */
 void caller_add(
@@ -266,7 +266,7 @@
 struct expectation *script_expectation(int line);
 
 /* verdict.c */
-void verdict_sample(struct process *process, int index);
-bool verdict_figure(const struct expectation *expect, double *value);
+void verdict_sample(struct process *p, int index);
+bool verdict_figure(const struct expectation *e, double *value);
 
 #endif
