--- a/libplantainlug/agent_internal.h
+++ b/libplantainlug/agent_internal.h
@@ -70,6 +70,8 @@
 	struct plug_leaving leaving;
 	uint32_t pending_opens; /* tokens minted and not yet used */
 	plug_time pending_halved;
+	double work; /* running and queued requests, averaged */
+	plug_time work_updated;
 	plug_time reported;
 	plug_time rebalanced;
 	plug_time overloaded; /* since when; valid while is_overloaded */
@@ -77,6 +79,8 @@
 	uint32_t logged_limit;
 	uint32_t resend_bits; /* last packets, 1 for a resend after an answer */
 	unsigned int resend_count;
+	plug_time foreign_logged;
+	unsigned int foreign_unlogged; /* since foreign_logged */
 	uint64_t counters[PLUG_COUNT_AGENT_COUNT];
 };
 
