--- a/tests/scenario/main.c
+++ b/tests/scenario/main.c
@@ -1,15 +1,18 @@
-#include <math.h>
+#include <getopt.h>
 
 #include "world.h"
 
+static const char usage[] =
+    "usage: scenario [--seeds A-B] [--trace] [--values] [--measure] "
+    "[--baseline] FILE\n";
+
 /* Distance by which a value misses its bound; not positive when it holds. */
 static double
-excess(const struct expectation *expect, double value)
+excess(const struct expectation *e, double value)
 {
-	if (expect->op[0] == '=')
-		return fabs(value - expect->bound);
-	return expect->op[0] == '<' ? value - expect->bound
-				    : expect->bound - value;
+	if (e->op[0] == '=')
+		return fabs(value - e->bound);
+	return e->op[0] == '<' ? value - e->bound : e->bound - value;
 }
 
 /* Runs one seed and adds its figures; whether every expectation held. */
@@ -20,21 +23,20 @@
 
 	world_run();
 	for (int i = 0; i < lines; i++) {
-		struct expectation *expect = script_expectation(i);
+		struct expectation *e = script_expectation(i);
 		double value;
 
-		if (expect == NULL || !verdict_figure(expect, &value))
+		if (e == NULL || !verdict_figure(e, &value))
 			continue;
-		if (first ||
-		    excess(expect, value) > excess(expect, expect->worst))
-			expect->worst = value;
-		expect->sum += value;
-		if (excess(expect, value) <= 0)
+		if (first || excess(e, value) > excess(e, e->worst))
+			e->worst = value;
+		e->sum += value;
+		if (excess(e, value) <= 0)
 			continue;
 		good = false;
-		(void)snprintf(expect->seeds + strlen(expect->seeds),
-		    sizeof(expect->seeds) - strlen(expect->seeds), "%s%llu",
-		    expect->seeds[0] == '\0' ? "" : ",",
+		(void)snprintf(e->seeds + strlen(e->seeds),
+		    sizeof(e->seeds) - strlen(e->seeds), "%s%llu",
+		    e->seeds[0] == '\0' ? "" : ",",
 		    (unsigned long long)world.seed);
 	}
 	world_finish();
@@ -42,17 +44,16 @@
 }
 
 static void
-report(const struct expectation *expect, bool values)
+report(const struct expectation *e, bool values)
 {
-	const bool failed = expect->seeds[0] != '\0';
+	const bool failed = e->seeds[0] != '\0';
 
-	printf("event=result metric=%s bound=%s%g from=%g result=%s",
-	    expect->metric, expect->op, expect->bound, expect->from,
-	    failed ? "fail" : "pass");
+	printf("event=result metric=%s bound=%s%g from=%g result=%s", e->metric,
+	    e->op, e->bound, e->from, failed ? "fail" : "pass");
 	if (values || failed)
-		printf(" worst=%.6g", expect->worst);
+		printf(" worst=%.6g", e->worst);
 	if (failed)
-		printf(" failing_seeds=%s", expect->seeds);
+		printf(" failing_seeds=%s", e->seeds);
 	printf("\n");
 }
 
@@ -60,64 +61,49 @@
 main(int argc, char **argv)
 {
 	static struct world blank;
-	const char *file = NULL;
+	int values = 0, measure = 0, traced = 0, baseline = 0, option, lines;
+	const struct option options[] = {
+		{ "seeds", required_argument, NULL, 's' },
+		{ "values", no_argument, &values, 1 },
+		{ "measure", no_argument, &measure, 1 },
+		{ "trace", no_argument, &traced, 1 },
+		{ "baseline", no_argument, &baseline, 1 },
+		{ NULL, 0, NULL, 0 },
+	};
 	unsigned long long from = 1, to = 1;
 	unsigned int failed = 0;
-	bool values = false, measure = false, bad = false;
-	int lines;
 
 	(void)apr_initialize();
-	for (int i = 1; i < argc; i++) {
-		const char *value = i + 1 < argc ? argv[i + 1] : "";
-
-		if (strcmp(argv[i], "--trace") == 0)
-			blank.trace = true;
-		else if (strcmp(argv[i], "--values") == 0)
-			values = true;
-		else if (strcmp(argv[i], "--measure") == 0)
-			measure = true;
-		else if (strcmp(argv[i], "--policy") == 0 && ++i)
-			blank.baseline = strcmp(value, "baseline") == 0;
-		else if (strncmp(argv[i], "--seed", 6) == 0 && ++i) {
-			if (sscanf(value, "%llu-%llu", &from, &to) == 1)
-				to = from;
-		} else if (strcmp(argv[i], "--record") == 0 && ++i)
-			blank.record = fopen(value, "w");
-		else if (strcmp(argv[i], "--process") == 0 && ++i)
-			blank.record_name = value;
-		else if (strcmp(argv[i], "--replay") == 0)
-			return process_replay(value);
-		else if (argv[i][0] != '-')
-			file = argv[i];
-		else
-			bad = true;
+	while ((option = getopt_long(argc, argv, "", options, NULL)) != -1) {
+		if (option == 's' &&
+		    sscanf(optarg, "%llu-%llu", &from, &to) == 1)
+			to = from;
+		if (option == '?')
+			optind = argc;
 	}
-	if (bad || file == NULL ||
-	    (blank.record == NULL) != (blank.record_name == NULL)) {
-		(void)fputs(
-		    "usage: scenario FILE [--seeds A-B | --seed N] "
-		    "[--trace] [--values] [--measure] [--policy baseline]\n"
-		    "           [--record OUT --process NAME]\n"
-		    "       scenario --replay FILE\n",
-		    stderr);
+	if (optind != argc - 1) {
+		(void)fputs(usage, stderr);
 		return 2;
 	}
-	lines = script_load(file);
+	blank.trace = traced;
+	blank.baseline = baseline;
+	lines = script_load(argv[optind]);
 	for (unsigned long long seed = from; seed <= to; seed++) {
 		world = blank;
 		world.seed = seed;
 		failed += !run_seed(lines, seed == from);
 	}
 	for (int i = 0; i < lines; i++) {
-		const struct expectation *expect = script_expectation(i);
+		const struct expectation *e = script_expectation(i);
 
-		if (expect != NULL && measure)
-			printf("%s=%.6g ", expect->metric,
-			    expect->sum / (double)(to - from + 1));
-		else if (expect != NULL)
-			report(expect, values);
+		if (e != NULL && measure)
+			printf("metric=%s mean=%.6g worst=%.6g\n", e->metric,
+			    e->sum / (double)(to - from + 1), e->worst);
+		else if (e != NULL)
+			report(e, values);
 	}
-	printf("%s seeds=%llu failed=%u\n", measure ? "" : "event=summary",
-	    to - from + 1, failed);
+	if (!measure)
+		printf("event=summary seeds=%llu failed=%u\n", to - from + 1,
+		    failed);
 	return failed == 0 || measure ? 0 : 1;
 }
