Keep flows through reused addresses, dead upstreams and lost commits

Refusals at 50 ms also used up the window of a frozen flow; - an agent whose upstream stayed down kept its flows and refused them, while siblings could serve.

Ruled out: raising the floor of a frozen flow, since a refused xid below it could then run at the target.

Change: an agent answers "flow lost" to a foreign token only when the token names its own address, and "not run" to a foreign opening call; PREPARE and COMMIT are repeated every 100 ms, PREPARE given up after 1 s, refusals of moving flows come back after 100 ms; an agent whose upstream has been gone for 5 s hands its flows to siblings.

The unit test of foreign packets now also covers a token of another address, which must get no answer; the figure of 50 ms became 100 ms with the design.

--- a/libplantainlug/agent.c
+++ b/libplantainlug/agent.c
@@ -2,6 +2,9 @@
 
 #include "agent_internal.h"
 
+/* An upstream that restarts is back within this time. */
+#define UNREACHABLE_AFTER (5 * PLUG_SEC)
+
 #define TICK_MAX (500 * PLUG_MSEC) /* pending opens are halved as often */
 
 /**
@@ -83,7 +86,7 @@
 plug_agent_leaving(const struct plug_agent *agent)
 {
 	return agent->leaving.stop || agent->leaving.draining ||
-	       agent->leaving.listed;
+	       agent->leaving.listed || agent->leaving.unreachable;
 }
 
 /**
@@ -244,9 +247,22 @@
 	agent->work += (present - agent->work) * (share < 1 ? share : 1);
 }
 
+/* Flows move to siblings when the upstream doesn't come back by itself. */
+static void
+update_unreachable(struct plug_agent *agent, plug_time now)
+{
+	bool was_leaving = plug_agent_leaving(agent);
+
+	agent->leaving.unreachable =
+	    !agent->upstream.connected &&
+	    now - agent->upstream.changed >= UNREACHABLE_AFTER;
+	plug_agent_leave_changed(agent, now, was_leaving);
+}
+
 static void
 tick(struct plug_agent *agent, plug_time now)
 {
+	update_unreachable(agent, now);
 	update_work(agent, now);
 	plug_limiter_tick(&agent->limiter, now);
 	log_limit(agent);
--- a/libplantainlug/agent_flow.c
+++ b/libplantainlug/agent_flow.c
@@ -347,11 +347,30 @@
 	serve(agent, now, flow, call, token, data, len);
 }
 
+static void
+log_foreign(struct plug_agent *agent, plug_time now,
+    const struct plug_call *call, const struct plug_token *token)
+{
+	if (agent->foreign_logged != 0 &&
+	    now - agent->foreign_logged < FOREIGN_LOG_INTERVAL) {
+		agent->foreign_unlogged++;
+		return;
+	}
+	plug_client_log(agent->client, PLUG_LOG_WARN,
+	    "event=foreign service=%u flow=%016llx xid=%u unlogged=%u "
+	    "version=%llu",
+	    call->program, (unsigned long long)token->flow, call->xid,
+	    agent->foreign_unlogged,
+	    (unsigned long long)plug_agent_version(agent));
+	agent->foreign_logged = now;
+	agent->foreign_unlogged = 0;
+}
+
 /*
- * A call for another service, or with a token that this service didn't mint. It
- * reaches an agent whose address another service had before. Anybody can send
- * such calls, so one a second is logged and the others are counted. The flow id
- * is what the token says, unchecked.
+ * A packet of another service, sent to this address by an old view. Its owner
+ * has gone only if the token names this address; otherwise a sibling of the
+ * owner took this agent for one of its own, and the flow may live. An opening
+ * call has run nothing.
  */
 static void
 foreign(struct plug_agent *agent, plug_time now, const struct plug_call *call)
@@ -359,22 +378,15 @@
 	struct plug_token token = { 0 };
 
 	agent->counters[PLUG_COUNT_FOREIGN]++;
-	if (agent->foreign_logged == 0 ||
-	    now - agent->foreign_logged >= FOREIGN_LOG_INTERVAL) {
-		if (call->has_token)
-			(void)plug_token_peek(call->token, &token);
-		plug_client_log(agent->client, PLUG_LOG_WARN,
-		    "event=foreign service=%u flow=%016llx xid=%u unlogged=%u "
-		    "version=%llu",
-		    call->program, (unsigned long long)token.flow, call->xid,
-		    agent->foreign_unlogged,
-		    (unsigned long long)plug_agent_version(agent));
-		agent->foreign_logged = now;
-		agent->foreign_unlogged = 0;
-	} else {
-		agent->foreign_unlogged++;
-	}
-	plug_agent_reply(agent, now, call, NULL, PLUG_OUTCOME_FLOW_LOST, 0);
+	if (call->has_token)
+		(void)plug_token_peek(call->token, &token);
+	log_foreign(agent, now, call, &token);
+	if (!call->has_token)
+		plug_agent_reply(agent, now, call, NULL, PLUG_OUTCOME_NOT_RUN,
+		    PLUG_RETRY_SOON_MS);
+	else if (plug_endpoint_equal(token.agent, agent->config.endpoint))
+		plug_agent_reply(
+		    agent, now, call, NULL, PLUG_OUTCOME_FLOW_LOST, 0);
 }
 
 static void
--- a/libplantainlug/agent_internal.h
+++ b/libplantainlug/agent_internal.h
@@ -10,7 +10,9 @@
 #include "retry.h"
 #include "transfer.h"
 
-#define PLUG_RETRY_SOON_MS  50	     /* the flow is about to have a new owner */
+/* The flow is about to have a new owner. A frozen flow keeps its floor, so the
+ * refusals of one PREPARE timeout must fit the window of 32 several times. */
+#define PLUG_RETRY_SOON_MS  100
 #define PLUG_RETRY_LATER_MS 1000     /* nobody can take the work now */
 #define PLUG_UPSTREAM_GRACE PLUG_SEC /* a reconnect may take this long */
 
@@ -39,6 +41,7 @@
  * @stop: PLUG_AGENT_STOP was received
  * @draining: the upstream reports that it drains
  * @listed: the instance list shows the agent as leaving
+ * @unreachable: the upstream has been gone for longer than a restart takes
  * @since: time when the first of them held; valid while one holds
  * @next_try: time when flows are next offered to siblings
  * @last_commit: time of the last confirmed move
@@ -48,6 +51,7 @@
 	bool stop;
 	bool draining;
 	bool listed;
+	bool unreachable;
 	plug_time since;
 	plug_time next_try;
 	plug_time last_commit;
--- a/libplantainlug/agent_move.c
+++ b/libplantainlug/agent_move.c
@@ -348,10 +348,10 @@
 	agent->leaving.next_try = now;
 	agent->leaving.stopped = false;
 	plug_client_log(agent->client, PLUG_LOG_INFO,
-	    "event=leaving active=%d stop=%d draining=%d listed=%d flows=%u "
-	    "running=%u queued=%u version=%llu",
+	    "event=leaving active=%d stop=%d draining=%d listed=%d "
+	    "unreachable=%d flows=%u running=%u queued=%u version=%llu",
 	    leaves, leaving->stop, leaving->draining, leaving->listed,
-	    agent->flows.open, agent->limiter.running,
+	    leaving->unreachable, agent->flows.open, agent->limiter.running,
 	    plug_limiter_queued(&agent->limiter),
 	    (unsigned long long)plug_agent_version(agent));
 	/* Siblings and the choice of targets need fresh figures at once. */
--- a/libplantainlug/transfer_source.c
+++ b/libplantainlug/transfer_source.c
@@ -2,9 +2,10 @@
 
 #include "transfer_internal.h"
 
-#define PREPARE_TIMEOUT	 (2 * PLUG_SEC) /* then another target is tried */
-#define PREPARE_INTERVAL (250 * PLUG_MSEC)
-#define COMMIT_INTERVAL	 (500 * PLUG_MSEC)
+#define PREPARE_TIMEOUT PLUG_SEC /* then another target is tried */
+/* Requests of the flows wait meanwhile, so a lost message is repeated well
+ * before their deadlines. */
+#define REPEAT_INTERVAL	 (100 * PLUG_MSEC)
 #define INLINE_BATCH_MAX 262144 /* bytes of answers in one PREPARE */
 
 /* Memory of one PREPARE message; large, so it is allocated for the call. */
@@ -495,11 +496,11 @@
 			if (now - batch->started >= PREPARE_TIMEOUT ||
 			    !listed(data, batch->target))
 				abort_batch(transfer, now, batch);
-			else if (now - batch->sent >= PREPARE_INTERVAL)
+			else if (now - batch->sent >= REPEAT_INTERVAL)
 				repeat_prepare(transfer, now, batch);
 		} else if (!listed(data, batch->target)) {
 			end_batch(transfer, now, batch, BATCH_LOST);
-		} else if (now - batch->sent >= COMMIT_INTERVAL) {
+		} else if (now - batch->sent >= REPEAT_INTERVAL) {
 			batch->sent = now;
 			send_commit(transfer, batch);
 		}
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -254,8 +254,15 @@
 	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
 	call = fleet_make_call(token, 1, SHORT_WRITE);
 	plug_token_seal(&other, &keys, call.token);
+	/* The flow of another address may live there. */
+	ck_assert_ptr_null(fleet_send(fleet, 0, &call));
+	other.agent = fleet->agents[0].config.endpoint;
+	plug_token_seal(&other, &keys, call.token);
 	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
-	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_FOREIGN), 3);
+	call.has_token = false;
+	call.program = 8;
+	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_NOT_RUN);
+	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_FOREIGN), 5);
 	ck_assert_uint_eq(fleet_started(fleet), 0);
 }
 END_TEST
--- a/tests/unit/test_transfer.c
+++ b/tests/unit/test_transfer.c
@@ -164,6 +164,49 @@
 END_TEST
 
 /* Guards against a stop that waits forever for callers that have gone. */
+/* Guards against flows that are refused for as long as their upstream is gone,
+ * while siblings could serve them; and against leaving for a mere restart. */
+START_TEST(flows_leave_a_dead_upstream)
+{
+	const struct plug_agent_event closed = {
+		.kind = PLUG_AGENT_UPSTREAM_CLOSED
+	};
+	const struct plug_agent_event opened = { .kind =
+						     PLUG_AGENT_UPSTREAM_OPEN };
+
+	open_flows(2);
+	fleet->agents[1].auto_answer = fleet->agents[2].auto_answer = true;
+	fleet_event(fleet, 0, &closed);
+	fleet_run(fleet, 4000);
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 2);
+	fleet_run(fleet, 2000);
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 0);
+	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
+	fleet_run(fleet, 20);
+	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_STARTED), 0);
+	ck_assert(fleet_load(fleet, 0).leaving);
+	fleet_event(fleet, 0, &opened);
+	fleet_run(fleet, 20);
+	ck_assert(!fleet_load(fleet, 0).leaving);
+}
+END_TEST
+
+/* Guards against flows that stay frozen for the whole timeout when one PREPARE
+ * is lost. */
+START_TEST(lost_prepare_is_repeated)
+{
+	open_flows(1);
+	fleet->drop = 1U << PLUG__MESSAGE__BODY_PREPARE;
+	stop(0);
+	fleet_run(fleet, 100);
+	fleet->drop = 0;
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 1);
+	fleet_run(fleet, 300);
+	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 0);
+}
+END_TEST
+
 START_TEST(stop_lingers_for_fifteen_seconds)
 {
 	open_flows(2);
@@ -208,7 +251,7 @@
 	fleet_run(fleet, 50);
 	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_NOT_RUN);
-	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->retry_after_ms, 50);
+	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->retry_after_ms, 100);
 	ck_assert_uint_eq(fleet->peers[PLUG__MESSAGE__BODY_PREPARE], 1);
 	fleet_run(fleet, 2000);
 	ck_assert_uint_ge(fleet->peers[PLUG__MESSAGE__BODY_ABORT], 1);
@@ -552,6 +595,8 @@
 	tcase_add_checked_fixture(test, setup, teardown);
 	tcase_add_test(test, graceful_stop_moves_everything);
 	tcase_add_test(test, stop_lingers_for_fifteen_seconds);
+	tcase_add_test(test, flows_leave_a_dead_upstream);
+	tcase_add_test(test, lost_prepare_is_repeated);
 	tcase_add_test(test, source_dies_before_commit);
 	tcase_add_test(test, target_dies_before_commit);
 	tcase_add_test(test, commit_is_repeated_until_confirmed);
