--- a/libplantainlug/flow.h
+++ b/libplantainlug/flow.h
@@ -124,7 +124,7 @@
  * @batch: transfer that the flow is part of, or came with
  * @active: requests queued or running
  * @seen: time of the last packet
- * @closed: time of the move or the close
+ * @changed: time of the last change of @state
  * @window: requests at xid modulo PLUG_FLOW_WINDOW, NULL when not seen
  */
 struct plug_flow {
@@ -140,7 +140,7 @@
 	uint64_t batch;
 	unsigned int active;
 	plug_time seen;
-	plug_time closed;
+	plug_time changed;
 	struct plug_request *window[PLUG_FLOW_WINDOW];
 };
 
--- a/libplantainlug/flowtable.c
+++ b/libplantainlug/flowtable.c
@@ -140,7 +140,7 @@
 	if (counts_as_open(state))
 		table->open++;
 	flow->state = state;
-	flow->closed = now;
+	flow->changed = now;
 }
 
 /**
@@ -179,10 +179,10 @@
 		return false;
 	case PLUG_FLOW_MOVED:
 		return flow->active == 0 &&
-		       now - flow->closed >= PLUG_FLOW_IDLE &&
+		       now - flow->changed >= PLUG_FLOW_IDLE &&
 		       now - flow->seen >= PLUG_FLOW_IDLE;
 	case PLUG_FLOW_CLOSED:
-		return now - flow->closed >= PLUG_TOMBSTONE_KEEP;
+		return now - flow->changed >= PLUG_TOMBSTONE_KEEP;
 	}
 	return false;
 }
--- a/libplantainlug/placement.c
+++ b/libplantainlug/placement.c
@@ -13,7 +13,7 @@
  * domain needs no larger margin: the fabric sprays the later packets of a flow
  * over the entries of all domains wherever its owner is.
  */
-#define MARGIN	1.05
+#define MARGIN	1.03
 #define BOUND	1.10 /* of the flows that a leaving agent gives to one */
 #define CHOICES 2    /* random siblings that are compared */
 #define MILLI	1000.0
@@ -155,9 +155,13 @@
 	return member != NULL && plug_service_usable(service, member);
 }
 
-/* Load on an upstream that is warm, or will be soon. */
-static double
-warm_load(const struct plug_sibling *sibling)
+/**
+ * plug_placement_warm_load() - load per slot of an upstream that is warm, or
+ * will be soon
+ * @sibling: sibling
+ */
+double
+plug_placement_warm_load(const struct plug_sibling *sibling)
 {
 	struct plug_load load = sibling->load;
 
@@ -349,8 +353,8 @@
     struct plug_client *client, plug_time now,
     const struct plug_service *service, uint32_t domain, double load)
 {
-	return less_loaded(
-	    placement, client, now, service, domain, load, warm_load);
+	return less_loaded(placement, client, now, service, domain, load,
+	    plug_placement_warm_load);
 }
 
 /**
@@ -374,7 +378,7 @@
 
 		if (!plug_placement_usable(sibling, service, now))
 			continue;
-		sum += warm_load(sibling);
+		sum += plug_placement_warm_load(sibling);
 		count++;
 	}
 	if (count > 0)
--- a/libplantainlug/placement.h
+++ b/libplantainlug/placement.h
@@ -82,6 +82,7 @@
 plug_placement_lighter(const struct plug_placement *placement,
     struct plug_client *client, plug_time now,
     const struct plug_service *service, uint32_t domain, double load);
+double plug_placement_warm_load(const struct plug_sibling *sibling);
 bool plug_placement_mean(const struct plug_placement *placement, plug_time now,
     const struct plug_service *service, double *mean);
 void plug_placement_sent(struct plug_placement *placement,
