Use one coder of inner headers and GRE in the stand-ins

Cause: standins/inner.c had its own copy of the IPv4 checksum, the IPv4 and UDP headers and the GRE header, beside packet.c and net/datagram.c. Ruled out: keeping inner.c as a thin layer over packet.c, since its functions would only rename those of packet.c. The fabric stand-in now also drops a packet whose UDP length is wrong. Conclusion: each header has one encoder and one decoder.

--- a/libplantainlug/packet.c
+++ b/libplantainlug/packet.c
@@ -36,9 +36,18 @@
 	return (uint16_t)~sum;
 }
 
-/* The UDP checksum is 0 (not computed), as RFC 768 allows over IPv4. */
-static void
-put_headers(uint8_t *buf, size_t len, struct plug_endpoint source,
+/**
+ * plug_packet_put_headers() - write the IPv4 and UDP headers of a packet
+ * @buf: packet; its payload begins at PLUG_PACKET_HEADER
+ * @len: length of the whole packet in bytes, PLUG_PACKET_HEADER at least
+ * @source: source address
+ * @target: destination address
+ * @ttl: hops left
+ *
+ * The UDP checksum is 0 (not computed), as RFC 768 allows over IPv4.
+ */
+void
+plug_packet_put_headers(uint8_t *buf, size_t len, struct plug_endpoint source,
     struct plug_endpoint target, uint8_t ttl)
 {
 	struct udphdr udp = {
@@ -61,9 +70,21 @@
 	memcpy(buf + sizeof(ip), &udp, sizeof(udp));
 }
 
-static enum plug_code
-get_headers(const uint8_t *buf, size_t len, struct plug_endpoint *source,
-    struct plug_endpoint *target, uint8_t *ttl, struct plug_status *status)
+/**
+ * plug_packet_get_headers() - check and read the IPv4 and UDP headers
+ * @buf: packet, from the IPv4 header on
+ * @len: length of the whole packet in bytes
+ * @source: source address
+ * @target: destination address
+ * @ttl: hops left
+ * @status: filled on an error, may be NULL
+ *
+ * Return: PLUG_OK or a 2xx code.
+ */
+enum plug_code
+plug_packet_get_headers(const uint8_t *buf, size_t len,
+    struct plug_endpoint *source, struct plug_endpoint *target, uint8_t *ttl,
+    struct plug_status *status)
 {
 	struct udphdr udp;
 	struct ip ip;
@@ -175,7 +196,7 @@
 	enum plug_code code;
 	XDR xdr;
 
-	code = get_headers(
+	code = plug_packet_get_headers(
 	    buf, len, &call->caller, &call->service, &call->ttl, status);
 	if (code != PLUG_OK)
 		return code;
@@ -271,7 +292,8 @@
 	if (!xdr_callmsg(&xdr, &msg) || !put_body(&xdr, call->body))
 		return 0;
 	len = PLUG_PACKET_HEADER + xdr_getpos(&xdr);
-	put_headers(buf, len, call->caller, call->service, call->ttl);
+	plug_packet_put_headers(
+	    buf, len, call->caller, call->service, call->ttl);
 	return len;
 }
 
@@ -306,7 +328,7 @@
 	uint8_t ttl;
 	XDR xdr;
 
-	code = get_headers(
+	code = plug_packet_get_headers(
 	    buf, len, &reply->service, &reply->caller, &ttl, status);
 	if (code != PLUG_OK)
 		return code;
@@ -381,7 +403,8 @@
 	    !put_body(&xdr, reply->body))
 		return 0;
 	len = PLUG_PACKET_HEADER + xdr_getpos(&xdr);
-	put_headers(buf, len, reply->service, reply->caller, PLUG_INITIAL_TTL);
+	plug_packet_put_headers(
+	    buf, len, reply->service, reply->caller, PLUG_INITIAL_TTL);
 	return len;
 }
 
--- a/libplantainlug/packet.h
+++ b/libplantainlug/packet.h
@@ -104,6 +104,11 @@
     struct plug_reply *reply, struct plug_status *status);
 size_t plug_packet_encode_reply(
     const struct plug_reply *reply, uint8_t *buf, size_t size);
+void plug_packet_put_headers(uint8_t *buf, size_t len,
+    struct plug_endpoint source, struct plug_endpoint target, uint8_t ttl);
+enum plug_code plug_packet_get_headers(const uint8_t *buf, size_t len,
+    struct plug_endpoint *source, struct plug_endpoint *target, uint8_t *ttl,
+    struct plug_status *status);
 bool plug_packet_take_hop(uint8_t *buf, size_t len);
 const char *plug_outcome_name(enum plug_outcome outcome);
 
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -10,7 +10,6 @@
 
 #include "cli/commands.h"
 #include "callerflow.h"
-#include "inner.h"
 #include "standin.h"
 #include "workload.h"
 
@@ -325,15 +324,16 @@
 	for (int i = 0; i < READ_BATCH && link->fd == fd; i++) {
 		ssize_t n = recv(fd, packet + PLUG_PACKET_HEADER,
 		    sizeof(packet) - PLUG_PACKET_HEADER, MSG_TRUNC);
+		size_t len;
 
 		if (n < 0)
 			return;
 		if ((size_t)n > sizeof(packet) - PLUG_PACKET_HEADER)
 			continue;
-		plug_inner_wrap(
-		    packet, (size_t)n, group->service, link->flow.caller);
-		plug_callerflow_receive(&link->flow, group->now, packet,
-		    PLUG_PACKET_HEADER + (size_t)n);
+		len = PLUG_PACKET_HEADER + (size_t)n;
+		plug_packet_put_headers(packet, len, group->service,
+		    link->flow.caller, PLUG_INITIAL_TTL);
+		plug_callerflow_receive(&link->flow, group->now, packet, len);
 	}
 }
 
--- a/standins/fabric.c
+++ b/standins/fabric.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 #include "cli/commands.h"
-#include "inner.h"
+#include "net/datagram.h"
 #include "standin.h"
 
 #define SERVICES_MAX	16
@@ -134,6 +134,7 @@
 	struct plug_endpoint caller, entry;
 	struct sockaddr_in in = { 0 };
 	socklen_t in_len;
+	size_t len;
 	ssize_t n;
 
 	for (int i = 0; i < READ_BATCH; i++) {
@@ -150,14 +151,15 @@
 			continue;
 		}
 		caller = plug_standin_from_sockaddr(in);
-		plug_inner_put_gre(buf);
-		plug_inner_wrap(
-		    packet, (size_t)n, caller, fabric->services[service]);
+		len = PLUG_PACKET_HEADER + (size_t)n;
+		plug_gre_encode(buf);
+		plug_packet_put_headers(packet, len, caller,
+		    fabric->services[service], PLUG_INITIAL_TTL);
 		entry = fabric->entries[plug_client_random(
 		    &fabric->client, (uint32_t)fabric->entry_count)];
 		fabric->to_entries++;
 		carry(fabric, now, fabric->gateway, entry, buf,
-		    PLUG_GRE_SIZE + PLUG_PACKET_HEADER + (size_t)n);
+		    PLUG_GRE_SIZE + len);
 	}
 }
 
@@ -165,8 +167,10 @@
 from_inside(struct fabric *fabric, plug_time now)
 {
 	uint8_t buf[DATAGRAM_SIZE];
+	const uint8_t *packet = buf + PLUG_GRE_SIZE;
 	struct plug_endpoint source, caller;
 	size_t service, packet_len;
+	uint8_t ttl;
 	ssize_t n;
 
 	for (int i = 0; i < READ_BATCH; i++) {
@@ -175,9 +179,9 @@
 			return;
 		packet_len = (size_t)n - PLUG_GRE_SIZE;
 		if ((size_t)n > sizeof(buf) ||
-		    !plug_inner_is_gre(buf, (size_t)n) ||
-		    !plug_inner_unwrap(
-			buf + PLUG_GRE_SIZE, packet_len, &source, &caller)) {
+		    !plug_gre_valid(buf, (size_t)n) ||
+		    plug_packet_get_headers(packet, packet_len, &source,
+			&caller, &ttl, NULL) != PLUG_OK) {
 			fabric->dropped++;
 			continue;
 		}
@@ -192,7 +196,7 @@
 		}
 		fabric->to_callers++;
 		carry(fabric, now, fabric->polled[service].fd, caller,
-		    buf + PLUG_GRE_SIZE + PLUG_PACKET_HEADER,
+		    packet + PLUG_PACKET_HEADER,
 		    packet_len - PLUG_PACKET_HEADER);
 	}
 }
