Let incremental builds survive a deleted header

Cause: after standins/inner.h was deleted, make stopped with "No rule to make target", because the dependency files of an earlier build still named it. Ruled out: asking for make clean after each deletion. Change: -MP, which writes an empty rule for each header. Dependency files written before this commit still need one make clean. Conclusion: later deletions need no clean build.

--- a/Makefile
+++ b/Makefile
@@ -71,11 +71,11 @@
 # Generated code is not held to the warnings of hand-written code.
 $(BUILD)/proto/%.o: proto/%.c
 	@mkdir -p $(@D)
-	$(CC) -std=gnu11 $(OPTIMISE) $(SANITIZE) $(CPPFLAGS) -MMD -c -o $@ $<
+	$(CC) -std=gnu11 $(OPTIMISE) $(SANITIZE) $(CPPFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) $(CPPFLAGS) -MMD -c -o $@ $<
+	$(CC) $(CFLAGS) $(CPPFLAGS) -MMD -MP -c -o $@ $<
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
