Format log lines in one function

Cause: client.c and net/log.c both turned printf arguments into a string of counted length, cut to the buffer. Ruled out: calling plug_log_event() from client.c, since the library must not depend on the driver.

--- a/libplantainlug/client.c
+++ b/libplantainlug/client.c
@@ -28,19 +28,17 @@
     const char *format, ...)
 {
 	char buf[PLUG_LOG_LINE_MAX];
-	struct plug_str line = { buf, 0 };
+	struct plug_str line;
 	va_list ap;
-	int n;
+	bool formatted;
 
 	if (client->log == NULL)
 		return;
 	va_start(ap, format);
-	n = vsnprintf(buf, sizeof(buf), format, ap);
+	formatted = plug_str_format(&line, buf, sizeof(buf), format, ap);
 	va_end(ap);
-	if (n < 0)
-		return;
-	line.len = (size_t)n < sizeof(buf) ? (size_t)n : sizeof(buf) - 1;
-	client->log(client->log_data, level, line);
+	if (formatted)
+		client->log(client->log_data, level, line);
 }
 
 /**
--- a/libplantainlug/str.c
+++ b/libplantainlug/str.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -54,3 +55,26 @@
 	buf[n] = '\0';
 	return n;
 }
+
+/**
+ * plug_str_format() - format into a buffer
+ * @s: result, which views @buf
+ * @buf: destination, with a final NUL; longer text is cut
+ * @size: size of @buf in bytes, at least 1
+ * @format: printf format
+ * @ap: its arguments
+ *
+ * Return: false when @format can't be converted; @s is unchanged then.
+ */
+bool
+plug_str_format(
+    struct plug_str *s, char *buf, size_t size, const char *format, va_list ap)
+{
+	int n = vsnprintf(buf, size, format, ap);
+
+	if (n < 0)
+		return false;
+	s->data = buf;
+	s->len = (size_t)n < size ? (size_t)n : size - 1;
+	return true;
+}
--- a/libplantainlug/str.h
+++ b/libplantainlug/str.h
@@ -1,6 +1,7 @@
 #ifndef PLUG_STR_H
 #define PLUG_STR_H
 
+#include <stdarg.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -23,5 +24,7 @@
 bool plug_str_equal(struct plug_str a, struct plug_str b);
 uint64_t plug_str_hash(struct plug_str s);
 size_t plug_str_copy(struct plug_str s, char *buf, size_t size);
+bool plug_str_format(struct plug_str *s, char *buf, size_t size,
+    const char *format, va_list ap) __attribute__((format(printf, 4, 0)));
 
 #endif
