Open the ports of both roles in one function

Cause: agentd.c and entryd.c had the same loop that tries ephemeral TCP ports until UDP gets the same number, and the same constant. Ruled out: putting the loop into control.c, which knows nothing about UDP. Change: net/ports.c has the loop; a role passes what opens its UDP sockets.

--- a/net/agentd.c
+++ b/net/agentd.c
@@ -10,14 +10,14 @@
 #include "datagram.h"
 #include "libplantainlug/agent.h"
 #include "pause.h"
+#include "ports.h"
 #include "stop.h"
 #include "upstream.h"
 
-#define BIND_ATTEMPTS 16 /* ephemeral ports tried for TCP and UDP together */
-#define AGENT_TICK    (10 * PLUG_MSEC)
-#define BATCHES_MAX   4	 /* batches of datagrams between two other events */
-#define MESSAGES_MAX  64 /* peer messages between two other events */
-#define FLUSH_TIME    (200 * PLUG_MSEC) /* for frames queued at the stop */
+#define AGENT_TICK   (10 * PLUG_MSEC)
+#define BATCHES_MAX  4	/* batches of datagrams between two other events */
+#define MESSAGES_MAX 64 /* peer messages between two other events */
+#define FLUSH_TIME   (200 * PLUG_MSEC) /* for frames queued at the stop */
 
 enum pollfd_index {
 	POLL_DATAGRAM,
@@ -334,7 +334,16 @@
 	return thread == 0 ? agentd->bytes : NULL;
 }
 
-/* An ephemeral TCP port may be taken for UDP; then another one is tried. */
+static enum plug_code
+open_socket(void *data, struct plug_status *status)
+{
+	struct agentd *agentd = data;
+
+	agentd->datagram =
+	    plug_datagram_create(agentd->control.endpoint, false, 0, status);
+	return agentd->datagram != NULL ? PLUG_OK : status->code;
+}
+
 static enum plug_code
 open_ports(struct agentd *agentd, struct plug_status *status)
 {
@@ -343,22 +352,9 @@
 		.status = format_counters,
 		.traffic = thread_traffic,
 		.data = agentd };
-	int attempts = agentd->settings->listen.port == 0 ? BIND_ATTEMPTS : 1;
-	enum plug_code code = PLUG_OK;
-
-	for (int i = 0; i < attempts; i++) {
-		code = plug_control_init(
-		    &agentd->control, agentd->settings, &hooks, status);
-		if (code != PLUG_OK)
-			return code;
-		agentd->datagram = plug_datagram_create(
-		    agentd->control.endpoint, false, 0, status);
-		if (agentd->datagram != NULL)
-			return PLUG_OK;
-		code = status->code;
-		plug_control_finish(&agentd->control);
-	}
-	return code;
+
+	return plug_ports_open(
+	    &agentd->control, agentd->settings, &hooks, open_socket, status);
 }
 
 static enum plug_code
--- a/net/entryd.c
+++ b/net/entryd.c
@@ -6,12 +6,12 @@
 #include "control.h"
 #include "datagram.h"
 #include "entryd.h"
+#include "ports.h"
 #include "stop.h"
 #include "traffic.h"
 
-#define RECEIVE_WAIT  100 /* milliseconds without a datagram */
-#define BIND_ATTEMPTS 16  /* ephemeral ports tried for TCP and UDP together */
-#define DRAIN_ROUNDS  256 /* batches read after a stop was requested */
+#define RECEIVE_WAIT 100 /* milliseconds without a datagram */
+#define DRAIN_ROUNDS 256 /* batches read after a stop was requested */
 
 struct entryd;
 
@@ -98,8 +98,10 @@
 }
 
 static enum plug_code
-open_sockets(struct entryd *entryd, struct plug_status *status)
+open_sockets(void *data, struct plug_status *status)
 {
+	struct entryd *entryd = data;
+
 	for (unsigned int i = 0; i < entryd->thread_count; i++) {
 		entryd->threads[i].traffic.datagram =
 		    plug_datagram_create(entryd->control.endpoint,
@@ -112,7 +114,6 @@
 	return PLUG_OK;
 }
 
-/* An ephemeral TCP port may be taken for UDP; then another one is tried. */
 static enum plug_code
 open_ports(struct entryd *entryd, struct plug_status *status)
 {
@@ -120,20 +121,9 @@
 		.status = format_counters,
 		.traffic = thread_bytes,
 		.data = entryd };
-	int attempts = entryd->settings->listen.port == 0 ? BIND_ATTEMPTS : 1;
-	enum plug_code code = PLUG_OK;
-
-	for (int i = 0; i < attempts; i++) {
-		code = plug_control_init(
-		    &entryd->control, entryd->settings, &hooks, status);
-		if (code != PLUG_OK)
-			return code;
-		code = open_sockets(entryd, status);
-		if (code == PLUG_OK)
-			return PLUG_OK;
-		plug_control_finish(&entryd->control);
-	}
-	return code;
+
+	return plug_ports_open(
+	    &entryd->control, entryd->settings, &hooks, open_sockets, status);
 }
 
 static enum plug_code
