Share the outcome assertion of the agent and transfer tests

Cause: test_agent.c and test_transfer.c each defined assert_outcome(). Change: fleet_assert_outcome() in fleet.c, with the same two assertions. No other assertion, bound or expected value changes. Conclusion: one definition.

--- a/tests/unit/fleet.c
+++ b/tests/unit/fleet.c
@@ -462,3 +462,11 @@
 	plug_agent_load(fleet->agents[at].agent, fleet->now, &load);
 	return load;
 }
+
+void
+fleet_assert_outcome(const struct plug_reply *reply, enum plug_outcome outcome)
+{
+	ck_assert_ptr_nonnull(reply);
+	ck_assert_str_eq(
+	    plug_outcome_name(reply->outcome), plug_outcome_name(outcome));
+}
--- a/tests/unit/fleet.h
+++ b/tests/unit/fleet.h
@@ -89,5 +89,7 @@
 const struct plug_reply *
 fleet_reply_to(const struct fleet *fleet, uint32_t xid);
 struct plug_load fleet_load(const struct fleet *fleet, unsigned int at);
+void
+fleet_assert_outcome(const struct plug_reply *reply, enum plug_outcome outcome);
 
 #endif
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -27,14 +27,6 @@
 	return fleet->agents[at].agent;
 }
 
-static void
-assert_outcome(const struct plug_reply *reply, enum plug_outcome outcome)
-{
-	ck_assert_ptr_nonnull(reply);
-	ck_assert_str_eq(
-	    plug_outcome_name(reply->outcome), plug_outcome_name(outcome));
-}
-
 /* Guards against a non-idempotent request that runs twice because its packet
  * was sprayed, resent or delayed. */
 START_TEST(duplicates_run_once)
@@ -47,16 +39,16 @@
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 	reply = fleet_answer(
 	    fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt 7"));
-	assert_outcome(reply, PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(reply, PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(reply->total, 9);
 	fleet_run(fleet, 60000);
 	reply = fleet_send(fleet, 0, &call);
-	assert_outcome(reply, PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(reply, PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(reply->total, 9);
 	/* Once settled, a late duplicate is dropped. */
 	call = fleet_make_call(token, 3, PLUG_PROCEDURE_NULL);
 	call.floor = 2;
-	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_DONE);
 	ck_assert_ptr_null(fleet_call(fleet, 0, token, 1, SHORT_WRITE));
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 	ck_assert_uint_eq(
@@ -82,13 +74,13 @@
 	for (xid = 1; xid <= 32; xid++)
 		reply = fleet_call(fleet, 0, token, xid, SHORT_WRITE);
 	/* One runs, 100 wait; the last of 128 is refused at once. */
-	assert_outcome(reply, PLUG_OUTCOME_NOT_RUN);
+	fleet_assert_outcome(reply, PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_ge(reply->retry_after_ms, 50);
 	ck_assert_uint_eq(fleet_running(fleet, 0), 1);
 	fleet->agents[0].auto_answer = true;
 	fleet_run(fleet, 4000);
 	ck_assert_uint_eq(fleet_started(fleet), 101);
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_call(fleet, 0, token, 32, SHORT_WRITE), PLUG_OUTCOME_NOT_RUN);
 	fleet_run(fleet, 100);
 	ck_assert_uint_eq(fleet_started(fleet), 101);
@@ -112,16 +104,16 @@
 
 	fleet_open(fleet, 0, late);
 	fleet_run(fleet, 10100);
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_call(fleet, 0, late, 1, SHORT_WRITE), PLUG_OUTCOME_FLOW_LOST);
 	fleet_open(fleet, 0, token);
 	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 	/* A new instance at the same address. */
 	fleet_restart(fleet, 0, 999);
-	assert_outcome(fleet_call(fleet, 0, token, 1, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, 0, token, 1, SHORT_WRITE),
 	    PLUG_OUTCOME_FLOW_LOST);
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_call(fleet, 0, token, 2, SHORT_READ), PLUG_OUTCOME_FLOW_LOST);
 	ck_assert_uint_eq(fleet_started(fleet), 0);
 }
@@ -148,7 +140,7 @@
 	(void)fleet_call(fleet, 0, token, 20, SHORT_WRITE);
 	(void)fleet_call(fleet, 0, token, 21, SHORT_READ);
 	fleet_event(fleet, 0, &closed);
-	assert_outcome(fleet_reply_to(fleet, 20), PLUG_OUTCOME_UNKNOWN);
+	fleet_assert_outcome(fleet_reply_to(fleet, 20), PLUG_OUTCOME_UNKNOWN);
 	ck_assert_ptr_null(fleet_reply_to(fleet, 21));
 	ck_assert_uint_eq(fleet_load(fleet, 0).limit, 1);
 	ck_assert_uint_eq(
@@ -156,16 +148,16 @@
 	fleet_event(fleet, 0, &opened);
 	fleet->agents[0].auto_answer = true;
 	fleet_run(fleet, 200);
-	assert_outcome(fleet_reply_to(fleet, 21), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(fleet_reply_to(fleet, 21), PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_RETRIES), 1);
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_call(fleet, 0, token, 20, SHORT_WRITE), PLUG_OUTCOME_UNKNOWN);
 	/* Without a connection work is refused, not held back. */
 	fleet_event(fleet, 0, &closed);
 	(void)fleet_call(fleet, 0, token, 22, SHORT_WRITE);
 	fleet_run(fleet, 1010);
-	assert_outcome(fleet_reply_to(fleet, 22), PLUG_OUTCOME_NOT_RUN);
-	assert_outcome(
+	fleet_assert_outcome(fleet_reply_to(fleet, 22), PLUG_OUTCOME_NOT_RUN);
+	fleet_assert_outcome(
 	    fleet_call(fleet, 0, token, 23, SHORT_WRITE), PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_eq(fleet_started(fleet), 22);
 }
@@ -222,19 +214,19 @@
 	fleet_run(fleet, 290);
 	ck_assert_ptr_null(fleet_reply_to(fleet, 2));
 	fleet_run(fleet, 10);
-	assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
+	fleet_assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_gt(fleet_reply_to(fleet, 2)->retry_after_ms, 0);
 	/* The running one is cancelled at its deadline, then given up. */
 	fleet_run(fleet, 4750);
 	ck_assert(fleet->agents[0].calls[0].cancelled);
 	ck_assert_ptr_null(fleet_reply_to(fleet, 1));
 	fleet_run(fleet, 2000);
-	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
+	fleet_assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
 	/* It still holds its slot; its late answer replaces "unknown". */
 	(void)fleet_call(fleet, 0, token, 3, SHORT_WRITE);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 	(void)fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("late"));
-	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(fleet_started(fleet), 2);
 }
 END_TEST
@@ -248,20 +240,23 @@
 	struct plug_token other = { .service = 7 };
 
 	call.program = 8;
-	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
+	fleet_assert_outcome(
+	    fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
 	call.program = 7;
 	call.service.address++;
-	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
+	fleet_assert_outcome(
+	    fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
 	call = fleet_make_call(token, 1, SHORT_WRITE);
 	plug_token_seal(&other, &keys, call.token);
 	/* The flow of another address may live there. */
 	ck_assert_ptr_null(fleet_send(fleet, 0, &call));
 	other.agent = fleet->agents[0].config.endpoint;
 	plug_token_seal(&other, &keys, call.token);
-	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
+	fleet_assert_outcome(
+	    fleet_send(fleet, 0, &call), PLUG_OUTCOME_FLOW_LOST);
 	call.has_token = false;
 	call.program = 8;
-	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_NOT_RUN);
+	fleet_assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_FOREIGN), 5);
 	ck_assert_uint_eq(fleet_started(fleet), 0);
 }
@@ -283,18 +278,18 @@
 	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
 	(void)fleet_call(fleet, 0, token, 2, SHORT_WRITE);
 	fleet_set_view(fleet, take_domain_out, &out);
-	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
-	assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
-	assert_outcome(fleet_call(fleet, 0, token, 3, SHORT_WRITE),
+	fleet_assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
+	fleet_assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
+	fleet_assert_outcome(fleet_call(fleet, 0, token, 3, SHORT_WRITE),
 	    PLUG_OUTCOME_FLOW_LOST);
-	assert_outcome(fleet_call(fleet, 0, NULL, 4, PLUG_PROCEDURE_NULL),
+	fleet_assert_outcome(fleet_call(fleet, 0, NULL, 4, PLUG_PROCEDURE_NULL),
 	    PLUG_OUTCOME_NOT_RUN);
 	ck_assert(fleet->agents[0].calls[0].cancelled);
 	ck_assert_ptr_null(
 	    fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("late")));
 	out = 0;
 	fleet_set_view(fleet, take_domain_out, &out);
-	assert_outcome(fleet_call(fleet, 0, token, 3, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, 0, token, 3, SHORT_WRITE),
 	    PLUG_OUTCOME_FLOW_LOST);
 	ck_assert_uint_eq(fleet_load(fleet, 0).limit, 1);
 	fleet_open(fleet, 0, token);
@@ -312,7 +307,7 @@
 	fleet->agents[0].silent = true;
 	fleet_run(fleet, 4200);
 	ck_assert_uint_eq(fleet->agents[0].reconnects, 1);
-	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
+	fleet_assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_UNKNOWN);
 }
 END_TEST
 
@@ -345,12 +340,12 @@
 	fleet_run(fleet, 20000);
 	ck_assert_uint_eq(fleet_send(fleet, 0, &call)->body.len, 1200);
 	fleet_run(fleet, 30000);
-	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_UNKNOWN);
+	fleet_assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_UNKNOWN);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 	/* Without a record nothing non-idempotent starts from the middle. */
 	call = fleet_make_call(token, 2, SHORT_WRITE);
 	call.offset = 1200;
-	assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_UNKNOWN);
+	fleet_assert_outcome(fleet_send(fleet, 0, &call), PLUG_OUTCOME_UNKNOWN);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 }
 END_TEST
@@ -399,7 +394,7 @@
 	ck_assert_ptr_null(fleet_send(fleet, 1, &call));
 	fleet_set_view(fleet, unlist, &owner);
 	for (unsigned int at = 1; at < 4; at++)
-		assert_outcome(
+		fleet_assert_outcome(
 		    fleet_send(fleet, at, &call), PLUG_OUTCOME_FLOW_LOST);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 }
--- a/tests/unit/test_transfer.c
+++ b/tests/unit/test_transfer.c
@@ -51,14 +51,6 @@
 	fleet_event(fleet, at, &event);
 }
 
-static void
-assert_outcome(const struct plug_reply *reply, enum plug_outcome outcome)
-{
-	ck_assert_ptr_nonnull(reply);
-	ck_assert_str_eq(
-	    plug_outcome_name(reply->outcome), plug_outcome_name(outcome));
-}
-
 static void
 unlist(struct plug_service *service, void *data)
 {
@@ -127,7 +119,7 @@
 	    plug_agent_counter(agent(2), PLUG_COUNT_MOVED_IN), 60);
 	/* The request that runs is finished here, with its caller waiting. */
 	ck_assert(!fleet->agents[0].stopped);
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt")),
 	    PLUG_OUTCOME_DONE);
 	/* Requests that waited were refused and run at the new owner under a
@@ -136,7 +128,8 @@
 	for (unsigned int i = 0; i < FLOWS; i++) {
 		(void)fleet_call(fleet, 0, tokens[i], 2, SHORT_WRITE);
 		fleet_run(fleet, 20);
-		assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_DONE);
+		fleet_assert_outcome(
+		    fleet_reply_to(fleet, 2), PLUG_OUTCOME_DONE);
 		ck_assert(fleet_reply_to(fleet, 2)->has_token);
 		memcpy(tokens[i], fleet_reply_to(fleet, 2)->token,
 		    PLUG_TOKEN_SIZE);
@@ -183,7 +176,7 @@
 	ck_assert_uint_eq(fleet_load(fleet, 0).flows, 0);
 	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
 	fleet_run(fleet, 20);
-	assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(fleet_reply_to(fleet, 1), PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(plug_agent_counter(agent(0), PLUG_COUNT_STARTED), 0);
 	ck_assert(fleet_load(fleet, 0).leaving);
 	fleet_event(fleet, 0, &opened);
@@ -233,9 +226,9 @@
 		    fleet_call(fleet, at, tokens[0], 1, SHORT_WRITE));
 	kill_agent(0);
 	at = first_candidate(tokens[0]);
-	assert_outcome(fleet_call(fleet, at, tokens[0], 1, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, at, tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_FLOW_LOST);
-	assert_outcome(fleet_call(fleet, at, tokens[0], 2, SHORT_READ),
+	fleet_assert_outcome(fleet_call(fleet, at, tokens[0], 2, SHORT_READ),
 	    PLUG_OUTCOME_FLOW_LOST);
 	ck_assert_uint_eq(fleet_started(fleet), 0);
 }
@@ -249,7 +242,7 @@
 	fleet->drop = 1U << PLUG__MESSAGE__BODY_PREPARED;
 	stop(0);
 	fleet_run(fleet, 50);
-	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->retry_after_ms, 100);
 	ck_assert_uint_eq(fleet->peers[PLUG__MESSAGE__BODY_PREPARE], 1);
@@ -262,7 +255,7 @@
 	(void)fleet_call(fleet, 0, tokens[0], 2, SHORT_WRITE);
 	ck_assert_uint_eq(fleet_running(fleet, new_owner()), 1);
 	/* The refusal has moved along with the flow. */
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_call(fleet, new_owner(), tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
@@ -306,7 +299,7 @@
 	fleet->hold = 1U << PLUG__MESSAGE__BODY_PREPARED;
 	stop(0);
 	fleet_run(fleet, 50);
-	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_NOT_RUN);
 	/* Settled at the source, it must still reach the target. */
 	heartbeat = fleet_make_call(tokens[0], 9, PLUG_PROCEDURE_NULL);
@@ -318,7 +311,7 @@
 	fleet_run(fleet, 600);
 	ck_assert_uint_eq(
 	    plug_agent_counter(agent(0), PLUG_COUNT_MOVED_OUT), 1);
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_call(fleet, new_owner(), tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_eq(fleet_started(fleet), 0);
@@ -347,7 +340,8 @@
 	/* Both the source and, to the waiting duplicate, the new owner. */
 	ck_assert_uint_eq(fleet->reply_count, 2);
 	fleet->agents[0].dead = true;
-	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(
+	    fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->total, 7);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 }
@@ -371,9 +365,11 @@
 	fleet->drop = 0;
 	call = fleet_make_call(tokens[0], 1, SHORT_WRITE);
 	call.attempt = 1;
-	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(
+	    fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
 	fleet->agents[0].dead = true;
-	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(
+	    fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 }
 END_TEST
@@ -388,7 +384,7 @@
 	fleet_run(fleet, 100);
 	kill_agent(0);
 	call = fleet_make_call(tokens[0], 1, SHORT_WRITE);
-	assert_outcome(
+	fleet_assert_outcome(
 	    fleet_send(fleet, new_owner(), &call), PLUG_OUTCOME_UNKNOWN);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 }
@@ -404,7 +400,7 @@
 	fleet_run(fleet, 100);
 	kill_agent(new_owner());
 	fleet_run(fleet, 100);
-	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
 	    PLUG_OUTCOME_FLOW_LOST);
 	ck_assert_uint_eq(fleet_started(fleet), 0);
 }
@@ -438,7 +434,7 @@
 	    plug_agent_counter(agent(1), PLUG_COUNT_MOVED_IN), _i);
 	packets = plug_agent_counter(agent(1), PLUG_COUNT_PACKETS);
 	/* A flow that was never taken over resumes at its stopping source. */
-	assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE),
 	    _i == 0 ? PLUG_OUTCOME_NOT_RUN : PLUG_OUTCOME_FLOW_LOST);
 	ck_assert_uint_eq(
 	    plug_agent_counter(agent(1), PLUG_COUNT_PACKETS), packets);
@@ -464,7 +460,8 @@
 	kill_agent(0);
 	call = fleet_make_call(tokens[0], 1, SHORT_WRITE);
 	call.offset = 98400;
-	assert_outcome(fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
+	fleet_assert_outcome(
+	    fleet_send(fleet, owner, &call), PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(fleet_reply_to(fleet, 1)->total, sizeof(body));
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 }
@@ -488,15 +485,16 @@
 	(void)fleet_call(fleet, 0, tokens[0], 1, SHORT_WRITE);
 	(void)fleet_call(fleet, 0, tokens[0], 2, SHORT_WRITE);
 	fleet_set_view(fleet, set_leaving, &at);
-	assert_outcome(fleet_call(fleet, 0, tokens[0], 3, SHORT_WRITE),
+	fleet_assert_outcome(fleet_call(fleet, 0, tokens[0], 3, SHORT_WRITE),
 	    PLUG_OUTCOME_NOT_RUN);
 	ck_assert_uint_gt(fleet_reply_to(fleet, 3)->retry_after_ms, 0);
 	fleet_run(fleet, 2100);
-	assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
-	assert_outcome(
+	fleet_assert_outcome(fleet_reply_to(fleet, 2), PLUG_OUTCOME_NOT_RUN);
+	fleet_assert_outcome(
 	    fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE, PLUG_STR("receipt")),
 	    PLUG_OUTCOME_DONE);
-	assert_outcome(fleet_call(fleet, 0, tokens[0], 4, PLUG_PROCEDURE_NULL),
+	fleet_assert_outcome(
+	    fleet_call(fleet, 0, tokens[0], 4, PLUG_PROCEDURE_NULL),
 	    PLUG_OUTCOME_DONE);
 	ck_assert_uint_eq(fleet_started(fleet), 1);
 	ck_assert(!fleet->agents[0].stopped);
@@ -542,7 +540,7 @@
 			const struct plug_reply *reply = fleet_call(
 			    fleet, 0, tokens[i], 1, PLUG_PROCEDURE_NULL);
 
-			assert_outcome(reply, PLUG_OUTCOME_DONE);
+			fleet_assert_outcome(reply, PLUG_OUTCOME_DONE);
 			if (reply->has_token)
 				memcpy(
 				    tokens[i], reply->token, PLUG_TOKEN_SIZE);
