Grow buffers with plug_buffer_reserve() in two more places

Cause: net/platform.c and standins/upstream.c grew buffers by themselves. Change: both use net/buffer.c. The stand-in's buffers now begin at 4,096 bytes and double; before, they had twice the bytes needed. Conclusion: contents and limits are unchanged.

--- a/net/platform.c
+++ b/net/platform.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "../libplantainlug/document.h"
+#include "buffer.h"
 #include "platform.h"
 
 #define KEY_SIZE	96     /* bytes of a key, with the NUL */
@@ -19,7 +20,6 @@
 #define SPACING_MS	50     /* between two queries for one key */
 #define EARLY_ANSWER_MS 1000   /* an unchanged answer this early is a fault */
 #define POLL_MAX_MS	100    /* longest wait of the loop */
-#define BODY_START	4096   /* bytes of the first buffer */
 #define INDEX_HEADER	"X-Consul-Index:"
 
 /**
@@ -36,6 +36,8 @@
  * @due: time of the next query when not @running
  * @answer_index: index of the running query's answer
  * @body: answer
+ * @len: length of @body in bytes
+ * @capacity: its allocated size in bytes
  */
 struct watch {
 	struct plug_platform *platform;
@@ -50,7 +52,7 @@
 	int64_t started;
 	int64_t due;
 	uint64_t answer_index;
-	char *body;
+	uint8_t *body;
 	size_t len;
 	size_t capacity;
 };
@@ -148,19 +150,9 @@
 
 	if (len > PLUG_DOCUMENT_SIZE_MAX - watch->len)
 		return 0;
-	if (watch->len + len > watch->capacity) {
-		size_t capacity =
-		    watch->capacity == 0 ? BODY_START : watch->capacity;
-		char *body;
-
-		while (capacity < watch->len + len)
-			capacity *= 2;
-		body = realloc(watch->body, capacity);
-		if (body == NULL)
-			return 0;
-		watch->body = body;
-		watch->capacity = capacity;
-	}
+	if (!plug_buffer_reserve(
+		&watch->body, &watch->capacity, watch->len + len))
+		return 0;
 	memcpy(watch->body + watch->len, data, len);
 	watch->len += len;
 	return len;
@@ -326,7 +318,8 @@
 	struct plug_platform *platform = watch->platform;
 	const struct plug_platform_handlers *handlers = &platform->handlers;
 	char key[KEY_SIZE], reason[96];
-	struct plug_str bytes = { watch->body, watch->len };
+	uint8_t *body = watch->body;
+	struct plug_str bytes = { (const char *)body, watch->len };
 	uint64_t version = watch->answer_index;
 	bool early = now - watch->started < EARLY_ANSWER_MS;
 	bool was_missing = watch->missing;
@@ -371,7 +364,7 @@
 	watch->body = NULL;
 	watch->capacity = 0;
 	handlers->value(handlers->data, plug_str_from(key), version, bytes);
-	free((char *)bytes.data);
+	free(body);
 }
 
 /**
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -14,6 +14,7 @@
 
 #include "cli/commands.h"
 #include "libplantainlug/agent.h"
+#include "net/buffer.h"
 #include "standin.h"
 #include "workload.h"
 
@@ -34,11 +35,10 @@
 #define ENDPOINT_TEXT	 24
 #define LINE_SIZE	 240 /* bytes of one line in the record file */
 
-/* Growing bytes. */
 struct buffer {
 	uint8_t *data;
 	size_t len;
-	size_t size;
+	size_t capacity;
 };
 
 struct connection {
@@ -91,15 +91,9 @@
 static bool
 append(struct buffer *buffer, const void *data, size_t len)
 {
-	if (buffer->len + len > buffer->size) {
-		size_t size = (buffer->len + len) * 2;
-		uint8_t *grown = realloc(buffer->data, size);
-
-		if (grown == NULL)
-			return false;
-		buffer->data = grown;
-		buffer->size = size;
-	}
+	if (!plug_buffer_reserve(
+		&buffer->data, &buffer->capacity, buffer->len + len))
+		return false;
 	memcpy(buffer->data + buffer->len, data, len);
 	buffer->len += len;
 	return true;
