Read optional arguments through net/arguments.c

Cause: the caller and upstream stand-ins each had number(), and the fabric stand-in repeated its body for each option. Change: plug_arguments_int() and plug_arguments_double(). Conclusion: defaults are unchanged.

--- a/net/arguments.c
+++ b/net/arguments.c
@@ -44,3 +44,25 @@
 	*status = PLUG_EXIT_USAGE;
 	return false;
 }
+
+/**
+ * plug_arguments_int() - value of an optional number
+ * @arg: option
+ * @standard: value when the option was not given
+ */
+int
+plug_arguments_int(const struct arg_int *arg, int standard)
+{
+	return arg->count > 0 ? arg->ival[0] : standard;
+}
+
+/**
+ * plug_arguments_double() - value of an optional floating-point number
+ * @arg: option
+ * @standard: value when the option was not given
+ */
+double
+plug_arguments_double(const struct arg_dbl *arg, double standard)
+{
+	return arg->count > 0 ? arg->dval[0] : standard;
+}
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -516,12 +516,6 @@
 	free(group->latencies);
 }
 
-static int
-number(const struct arg_int *arg, int standard)
-{
-	return arg->count > 0 ? arg->ival[0] : standard;
-}
-
 /**
  * plug_cli_standin_caller() - callers with long flows to one service
  * @argc: number of arguments
@@ -567,8 +561,10 @@
 	status = EXIT_FAILURE;
 	if (!plug_standin_endpoint(service->sval[0], &group.service))
 		goto out;
-	if (number(flows, 20) < 1 || number(flows, 20) > FLOWS_MAX ||
-	    number(think, 250) < 1 || number(requests, 100000) < 1) {
+	if (plug_arguments_int(flows, 20) < 1 ||
+	    plug_arguments_int(flows, 20) > FLOWS_MAX ||
+	    plug_arguments_int(think, 250) < 1 ||
+	    plug_arguments_int(requests, 100000) < 1) {
 		(void)fprintf(stderr,
 		    "event=error text=\"flows, think-ms or requests is out of "
 		    "range\"\n");
@@ -576,13 +572,14 @@
 	}
 	group.program = (uint32_t)program->ival[0];
 	group.name = name->count > 0 ? name->sval[0] : "caller";
-	group.bulk_percent = (uint32_t)number(bulk, 5);
-	group.bulk_size = (uint32_t)number(size, 100000);
-	group.request_max = (uint32_t)number(requests, 100000);
-	group.client.random[0] = (unsigned short)number(seed, 1);
-	if (prepare(&group, (uint32_t)number(flows, 20),
-		number(think, 250) * PLUG_MSEC, record->filename[0])) {
-		run(&group, number(seconds, 10) * PLUG_SEC);
+	group.bulk_percent = (uint32_t)plug_arguments_int(bulk, 5);
+	group.bulk_size = (uint32_t)plug_arguments_int(size, 100000);
+	group.request_max = (uint32_t)plug_arguments_int(requests, 100000);
+	group.client.random[0] = (unsigned short)plug_arguments_int(seed, 1);
+	if (prepare(&group, (uint32_t)plug_arguments_int(flows, 20),
+		plug_arguments_int(think, 250) * PLUG_MSEC,
+		record->filename[0])) {
+		run(&group, plug_arguments_int(seconds, 10) * PLUG_SEC);
 		summarise(&group);
 		status = EXIT_SUCCESS;
 	}
--- a/standins/fabric.c
+++ b/standins/fabric.c
@@ -330,6 +330,12 @@
 	    (unsigned long long)fabric->dropped);
 }
 
+static plug_time
+milliseconds(const struct arg_dbl *arg)
+{
+	return (plug_time)(plug_arguments_double(arg, 0) * (double)PLUG_MSEC);
+}
+
 /**
  * plug_cli_standin_fabric() - fabric that sprays packets over the entries
  * @argc: number of arguments
@@ -370,16 +376,11 @@
 	fabric = calloc(1, sizeof(*fabric));
 	if (fabric == NULL)
 		goto out;
-	fabric->client.random[0] =
-	    (unsigned short)(seed->count > 0 ? seed->ival[0] : 1);
-	fabric->loss = loss->count > 0 ? loss->dval[0] : 0;
-	fabric->duplication = duplication->count > 0 ? duplication->dval[0] : 0;
-	fabric->delay = wait->count > 0
-			    ? (plug_time)(wait->dval[0] * (double)PLUG_MSEC)
-			    : 0;
-	fabric->jitter = jitter->count > 0
-			     ? (plug_time)(jitter->dval[0] * (double)PLUG_MSEC)
-			     : 0;
+	fabric->client.random[0] = (unsigned short)plug_arguments_int(seed, 1);
+	fabric->loss = plug_arguments_double(loss, 0);
+	fabric->duplication = plug_arguments_double(duplication, 0);
+	fabric->delay = milliseconds(wait);
+	fabric->jitter = milliseconds(jitter);
 	fabric->entries_file = file->count > 0 ? file->filename[0] : NULL;
 	for (int i = 0; i < entries->count; i++) {
 		if (!plug_standin_endpoint(
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -718,12 +718,6 @@
 	return true;
 }
 
-static int
-number(const struct arg_int *arg, int standard)
-{
-	return arg->count > 0 ? arg->ival[0] : standard;
-}
-
 /**
  * plug_cli_standin_upstream() - server that runs the requests of one service
  * @argc: number of arguments
@@ -777,21 +771,21 @@
 	if (up == NULL)
 		goto out;
 	up->service = (uint32_t)service->ival[0];
-	up->slots = (unsigned int)number(slots, 2);
-	up->cold_slots = (unsigned int)number(cold_slots, 1);
+	up->slots = (unsigned int)plug_arguments_int(slots, 2);
+	up->cold_slots = (unsigned int)plug_arguments_int(cold_slots, 1);
 	if (up->slots < 1 || up->cold_slots < 1 || up->cold_slots > up->slots) {
 		(void)fprintf(stderr, "event=error text=\"slots must be at "
 				      "least 1 and not below cold slots\"\n");
 		goto out;
 	}
-	up->short_time = number(short_ms, 10) * PLUG_MSEC;
-	up->bulk_time = number(bulk_ms, 50) * PLUG_MSEC;
-	up->cold_time = number(cold_ms, 0) * PLUG_MSEC;
-	up->cold_factor = cold_factor->count > 0 ? cold_factor->dval[0] : 1;
+	up->short_time = plug_arguments_int(short_ms, 10) * PLUG_MSEC;
+	up->bulk_time = plug_arguments_int(bulk_ms, 50) * PLUG_MSEC;
+	up->cold_time = plug_arguments_int(cold_ms, 0) * PLUG_MSEC;
+	up->cold_factor = plug_arguments_double(cold_factor, 1);
 	up->cold_fails = cold_fails->count > 0;
-	up->health_lag = number(lag, 0) * PLUG_MSEC;
-	up->health_lie = number(lie, -1);
-	up->client.random[0] = (unsigned short)number(seed, 1);
+	up->health_lag = plug_arguments_int(lag, 0) * PLUG_MSEC;
+	up->health_lie = plug_arguments_int(lie, -1);
+	up->client.random[0] = (unsigned short)plug_arguments_int(seed, 1);
 	up->record = -1;
 	for (size_t i = 0; i < CONNECTIONS_MAX; i++)
 		up->connections[i].fd = -1;
