--- a/net/peer.h
+++ b/net/peer.h
@@ -4,10 +4,9 @@
 #include "libplantainlug/client.h"
 #include "log.h"
 
-#define PLUG_PEER_QUEUE_FRAMES 256 /* frames that wait for one peer */
-#define PLUG_PEER_QUEUE_BYTES                          \
-	((size_t)16 * 1024 * 1024) /* their total size \
-				    */
+/* Limits of the frames that wait for one peer. */
+#define PLUG_PEER_QUEUE_FRAMES 256
+#define PLUG_PEER_QUEUE_BYTES  ((size_t)16 * 1024 * 1024)
 
 struct plug_link;
 struct plug_peers;
