Share view and packets of the router and path benchmarks

Cause: bench_router.c repeated the view, the call and the token of path.c. Ruled out: one choice of the owner by flow number for both, which would change the packets that bench_router measures. Change: path_view_create() takes the number of services and the first endpoint; path_call_encode() takes the owner. Conclusion: the packets and the views are the same as before.

--- a/bench/bench_entry.c
+++ b/bench/bench_entry.c
@@ -286,7 +286,8 @@
 	    (struct plug_endpoint){ INADDR_ANY, 0 }, false, RECEIVE_WAIT);
 	sink.port = path_port(sink_socket);
 	sink.address = INADDR_LOOPBACK;
-	view = path_view_create(sink.port);
+	view = path_view_create(PATH_SERVICES,
+	    (struct plug_endpoint){ INADDR_LOOPBACK + 1, sink.port });
 	for (uint32_t i = 0; i < POOL; i++) {
 		path_packet_create(&owned[i], view, i, false);
 		path_packet_create(&opening[i], view, i, true);
--- a/bench/bench_latency.c
+++ b/bench/bench_latency.c
@@ -116,7 +116,8 @@
 
 	sink = path_socket(any, false, RECEIVE_WAIT);
 	sink_port = path_port(sink);
-	view = path_view_create(sink_port);
+	view = path_view_create(PATH_SERVICES,
+	    (struct plug_endpoint){ INADDR_LOOPBACK + 1, sink_port });
 	for (uint32_t i = 0; i < FLOWS; i++)
 		path_packet_create(&packets[i], view, i, false);
 	bare = path_socket(local, false, RECEIVE_WAIT);
--- a/bench/bench_router.c
+++ b/bench/bench_router.c
@@ -9,69 +9,30 @@
 
 #include "common.h"
 #include "libplantainlug/router.h"
+#include "path.h"
 
 #define BATCH	     64	  /* packets timed together */
 #define ROUNDS	     4000 /* batches for each size */
-#define HOSTS	     13	  /* agents of one service: 4,300 over 330 */
 #define NSEC_PER_SEC 1e9
 
 static const unsigned int flow_sizes[] = { 1000, 100000, 500000 };
 static const unsigned int service_sizes[] = { 10, 100, 330 };
 #define SIZES (sizeof(flow_sizes) / sizeof(flow_sizes[0]))
 
+/* Never contacted. */
+static const struct plug_endpoint first_host = { 0x0b000000, 4754 };
 static struct plug_client client = { .random = { 1, 2, 3 } };
 static struct bench_samples samples[SIZES];
 
-static struct plug_view *
-create_view(unsigned int services)
-{
-	struct plug_view *view = plug_view_create(services, 0);
-
-	for (unsigned int i = 0; i < services; i++) {
-		struct plug_service *service = &view->services[i];
-
-		service->document.service = i + 1;
-		service->document.address.address = 0x0a000000 + i;
-		service->document.address.port = 80;
-		service->document.token_keys.count = 1;
-		service->member_count = HOSTS;
-		service->members = calloc(HOSTS, sizeof(*service->members));
-		for (unsigned int j = 0; j < HOSTS; j++) {
-			service->members[j].endpoint.address =
-			    0x0b000000 + i * HOSTS + j;
-			service->members[j].endpoint.port = 4754;
-			service->members[j].domain = j % 9;
-		}
-	}
-	return view;
-}
-
 /* The flow decides service, owner and id, as a sealed token of it would. */
 static size_t
 encode_packet(const struct plug_view *view, uint32_t flow, uint8_t *packet)
 {
 	const struct plug_service *service =
 	    &view->services[flow % view->service_count];
-	struct plug_call call = {
-		.caller = { 0xc0000000 + flow, 1000 },
-		.service = service->document.address,
-		.ttl = PLUG_INITIAL_TTL,
-		.xid = 1,
-		.program = service->document.service,
-		.procedure = 1,
-		.has_token = true,
-		.body = PLUG_STR("0123456789abcdef0123456789abcdef"),
-	};
-	const struct plug_member *owner = &service->members[flow % HOSTS];
-	struct plug_token token = {
-		.service = service->document.service,
-		.agent = owner->endpoint,
-		.domain = owner->domain,
-		.flow = flow * 0x9e3779b97f4a7c15ULL,
-	};
 
-	plug_token_seal(&token, &service->document.token_keys, call.token);
-	return plug_packet_encode_call(&call, packet, PLUG_PACKET_MAX);
+	return path_call_encode(
+	    service, &service->members[flow % PATH_HOSTS], flow, false, packet);
 }
 
 /* Packets are prepared outside the timed part, as a socket would deliver. */
@@ -127,7 +88,7 @@
 
 	plug_router_init(&router, &client, 0);
 	for (size_t s = 0; s < SIZES; s++)
-		views[s] = create_view(service_sizes[s]);
+		views[s] = path_view_create(service_sizes[s], first_host);
 	for (int round = 0; round < ROUNDS; round++) {
 		for (size_t s = 0; s < SIZES; s++)
 			bench_samples_add(&samples[s],
--- a/bench/path.c
+++ b/bench/path.c
@@ -39,25 +39,19 @@
 	return ntohs(bound.sin_port);
 }
 
-/* Every host is one address of the loopback network; one socket reads all. */
-static struct plug_endpoint
-host_endpoint(unsigned int service, unsigned int host, uint16_t port)
-{
-	return (struct plug_endpoint){
-		INADDR_LOOPBACK + 1 + service * PATH_HOSTS + host, port
-	};
-}
-
 /**
- * path_view_create() - view whose agents are addresses of one socket
- * @sink_port: port of that socket
+ * path_view_create() - view of services with PATH_HOSTS agents each
+ * @services: number of services
+ * @first: endpoint of the first agent; the others have the next addresses
+ *
+ * When @first is on the loopback network, one socket reads for all agents.
  */
 struct plug_view *
-path_view_create(uint16_t sink_port)
+path_view_create(unsigned int services, struct plug_endpoint first)
 {
-	struct plug_view *view = plug_view_create(PATH_SERVICES, 0);
+	struct plug_view *view = plug_view_create(services, 0);
 
-	for (unsigned int i = 0; i < PATH_SERVICES; i++) {
+	for (unsigned int i = 0; i < services; i++) {
 		struct plug_service *service = &view->services[i];
 
 		service->document.service = i + 1;
@@ -68,28 +62,30 @@
 		service->members =
 		    calloc(PATH_HOSTS, sizeof(*service->members));
 		for (unsigned int j = 0; j < PATH_HOSTS; j++) {
-			service->members[j].endpoint =
-			    host_endpoint(i, j, sink_port);
-			service->members[j].domain = j % 9;
+			struct plug_member *member = &service->members[j];
+
+			member->endpoint = first;
+			member->endpoint.address += i * PATH_HOSTS + j;
+			member->domain = j % PATH_DOMAINS;
 		}
 	}
 	return view;
 }
 
 /**
- * path_packet_create() - prepare a packet of one flow
- * @packet: result
- * @view: view that names its owner
- * @flow: number of the flow, decides service and owner
+ * path_call_encode() - prepare the inner packet of one flow
+ * @service: service of the flow
+ * @owner: agent of the flow
+ * @flow: number of the flow, decides the caller and the flow id
  * @opens: an opening call instead of a request
+ * @packet: PLUG_PACKET_MAX bytes
+ *
+ * Return: length in bytes.
  */
-void
-path_packet_create(struct path_packet *packet, const struct plug_view *view,
-    uint32_t flow, bool opens)
+size_t
+path_call_encode(const struct plug_service *service,
+    const struct plug_member *owner, uint32_t flow, bool opens, uint8_t *packet)
 {
-	unsigned int index = flow % PATH_SERVICES,
-		     host = flow / PATH_SERVICES % PATH_HOSTS;
-	const struct plug_service *service = &view->services[index];
 	struct plug_call call = {
 		.caller = { 0xc0000000 + flow, 1000 },
 		.service = service->document.address,
@@ -102,16 +98,34 @@
 	};
 	struct plug_token token = {
 		.service = service->document.service,
-		.agent = service->members[host].endpoint,
-		.domain = service->members[host].domain,
+		.agent = owner->endpoint,
+		.domain = owner->domain,
 		.flow = flow * 0x9e3779b97f4a7c15ULL,
 	};
 
 	plug_token_seal(&token, &service->document.token_keys, call.token);
+	return plug_packet_encode_call(&call, packet, PLUG_PACKET_MAX);
+}
+
+/**
+ * path_packet_create() - prepare a datagram of one flow
+ * @packet: result
+ * @view: view that names its owner
+ * @flow: number of the flow, decides service and owner
+ * @opens: an opening call instead of a request
+ */
+void
+path_packet_create(struct path_packet *packet, const struct plug_view *view,
+    uint32_t flow, bool opens)
+{
+	unsigned int index = flow % PATH_SERVICES,
+		     host = flow / PATH_SERVICES % PATH_HOSTS;
+	const struct plug_service *service = &view->services[index];
+
 	plug_gre_encode(packet->bytes);
 	packet->len =
-	    PLUG_GRE_SIZE + plug_packet_encode_call(&call,
-				packet->bytes + PLUG_GRE_SIZE, PLUG_PACKET_MAX);
+	    PLUG_GRE_SIZE + path_call_encode(service, &service->members[host],
+				flow, opens, packet->bytes + PLUG_GRE_SIZE);
 }
 
 /**
