--- a/libplantainlug/document.c
+++ b/libplantainlug/document.c
@@ -6,8 +6,14 @@
 #include "document.h"
 #include "jsonread.h"
 
-#define SERVICE_ID_MAX 2147483647.0 /* 2^31 - 1 */
-#define PROCEDURE_MAX  2147418112.0 /* 0x7fff0000; higher ones are reserved */
+/* Limits of the keys, design section 7. */
+#define PROCEDURE_MAX	 2147418112.0 /* 0x7fff0000; higher ones are reserved */
+#define SLOTS_MAX	 1024	      /* of a host */
+#define CONNECTIONS_MAX	 100000	      /* flows of a host */
+#define QUEUE_MAX	 10000	      /* requests */
+#define COLD_SECONDS_MAX 3600
+#define DEADLINE_MS_MAX	 600000
+#define BULK_SHARE_MIN	 0.1 /* of the slots */
 
 /* The instance list of the entries is kept as if they were a service. */
 #define RESERVED_NAME "entries"
@@ -67,12 +73,12 @@
 		    .kind = PLUG_JSON_UINT,
 		    .offset = offsetof(struct plug_document, cold_seconds),
 		    .min = 1,
-		    .max = 3600 },
+		    .max = COLD_SECONDS_MAX },
 		{ .name = "slots",
 		    .kind = PLUG_JSON_UINT,
 		    .offset = offsetof(struct plug_document, cold_slots),
 		    .min = 1,
-		    .max = 1024 },
+		    .max = SLOTS_MAX },
 	};
 
 	return plug_json_read_object(
@@ -103,7 +109,7 @@
 		    .kind = PLUG_JSON_UINT,
 		    .offset = offsetof(struct plug_operation, deadline_ms),
 		    .min = 1,
-		    .max = 600000 },
+		    .max = DEADLINE_MS_MAX },
 	};
 
 	return plug_json_read_object(
@@ -254,7 +260,7 @@
 		    .kind = PLUG_JSON_UINT,
 		    .offset = offsetof(struct plug_document, service),
 		    .min = 1,
-		    .max = SERVICE_ID_MAX },
+		    .max = PLUG_SERVICE_ID_MAX },
 		{ .name = "address",
 		    .kind = PLUG_JSON_ENDPOINT,
 		    .offset = offsetof(struct plug_document, address) },
@@ -262,16 +268,16 @@
 		    .kind = PLUG_JSON_UINT,
 		    .offset = offsetof(struct plug_document, slots),
 		    .min = 1,
-		    .max = 1024 },
+		    .max = SLOTS_MAX },
 		{ .name = "connections",
 		    .kind = PLUG_JSON_UINT,
 		    .offset = offsetof(struct plug_document, connections),
 		    .min = 1,
-		    .max = 100000 },
+		    .max = CONNECTIONS_MAX },
 		{ .name = "queue",
 		    .kind = PLUG_JSON_UINT,
 		    .offset = offsetof(struct plug_document, queue),
-		    .max = 10000 },
+		    .max = QUEUE_MAX },
 		{ .name = "cold_start",
 		    .kind = PLUG_JSON_CUSTOM,
 		    .read = read_cold_start },
@@ -282,7 +288,7 @@
 		    .kind = PLUG_JSON_REAL,
 		    .optional = true,
 		    .offset = offsetof(struct plug_document, bulk_share),
-		    .min = 0.1,
+		    .min = BULK_SHARE_MIN,
 		    .max = 1.0 },
 		{ .name = "domains_out",
 		    .kind = PLUG_JSON_CUSTOM,
--- a/libplantainlug/document.h
+++ b/libplantainlug/document.h
@@ -11,6 +11,7 @@
 #define PLUG_DOMAINS_MAX       16      /* failure domains in one document */
 #define PLUG_DOCUMENT_SCHEMA   1       /* newest schema that is understood */
 #define PLUG_DOCUMENT_SIZE_MAX 1048576 /* bytes */
+#define PLUG_SERVICE_ID_MAX    2147483647.0 /* 2^31 - 1 */
 
 enum plug_class {
 	PLUG_CLASS_SHORT,
