Hold entries by domain, digest to few partners, spread agents' readings

Cause: docs/CAPACITY.md names three costs that grow with nodes times hosts or that hit one second. One replaced entry sent the whole list of entries to every process; random digest partners make a connection to nearly every peer; agents without an answer from common seeds all read the configuration service after 2 s.

Ruled out: a digest message with a second hash for the list of entries. The sender's service and domain already tell which keys both sides hold, so the protocol stays as it is. Waiting calls of every fallen-back agent were ruled out as well: 12,870 of them, renewed every 30 s, are 429 calls a second.

Change: the key instances/entries becomes one list for each domain, named by instances/entries/?keys. Entries hold all, agents that of their own domain; a list with an entry of another domain is refused. Digests and an entry's notices go to 6 partners, one drawn again every 30 s and at once when silent; silent peers are probed so that a partition heals. An agent whose peers fail reads its keys once after up to 60 s at random, and again 30 s to 90 s after that. Inquiries back off with jitter. The fabric stand-in reads a directory of lists.

The test agent_watches_when_peers_are_silent expected a watch within 0.5 s of the 2 s; that is the burst which the random delay removes. New tests bound the readings of 40 agents in a second, the partners of an entry, the lists that an agent holds, and the return of a domain while the service is down.

Conclusion: entries hold all lists, so an entry's cost of a replaced entry still grows with the entries of one domain.

--- a/bench/config.h
+++ b/bench/config.h
@@ -3,12 +3,13 @@
 
 #include "libplantainlug/node.h"
 
-/* Values by place: 0 lists the services, 1 the entries; service i has its
- * document at 2 + 2 * i and its instance list after it. */
+/* Values by place: 0 lists the services, 1 the domains, then follow the lists
+ * of the domains' entries; each service has a document and an instance list. */
 #define BENCH_LISTING	  0
-#define BENCH_ENTRIES	  1
-#define BENCH_DOCUMENT(i) (2 + 2 * (i))
-#define BENCH_MEMBERS(i)  (3 + 2 * (i))
+#define BENCH_DOMAIN_LIST 1
+#define BENCH_ENTRIES(i)  (2 + (i))
+#define BENCH_DOCUMENT(i) (2 + BENCH_DOMAINS + 2 * (i))
+#define BENCH_MEMBERS(i)  (3 + BENCH_DOMAINS + 2 * (i))
 #define BENCH_PORT	  4754
 #define BENCH_DOMAINS	  9 /* failure domains, design section 2 */
 
@@ -46,7 +47,7 @@
 void bench_config_document(struct bench_config *config, unsigned int service);
 void bench_config_members(
     struct bench_config *config, unsigned int service, unsigned int missing);
-void bench_config_entries(struct bench_config *config);
+void bench_config_entries(struct bench_config *config, unsigned int domain);
 int bench_config_find(const struct bench_config *config, struct plug_str key);
 struct plug_endpoint bench_entry_endpoint(unsigned int entry);
 struct plug_endpoint bench_host_endpoint(
--- a/libplantainlug/catalog.h
+++ b/libplantainlug/catalog.h
@@ -4,16 +4,18 @@
 #include "keystore.h"
 #include "view.h"
 
-#define PLUG_KEY_SIZE	    80	 /* bytes of a key, with the NUL */
+#define PLUG_KEY_SIZE	    96	 /* bytes of a key, with the NUL */
 #define PLUG_CATALOG_MAX    4096 /* keys that one process holds */
 #define PLUG_KEY_LISTING    "service/?keys"
-#define PLUG_KEY_ENTRIES    "instances/entries"
+#define PLUG_KEY_DOMAINS    "instances/entries/?keys"
 #define PLUG_PREFIX_SERVICE "service/"
 #define PLUG_PREFIX_MEMBERS "instances/"
+#define PLUG_PREFIX_ENTRIES "instances/entries/"
 
 enum plug_item_kind {
 	PLUG_ITEM_LISTING,  /* names of the service keys */
-	PLUG_ITEM_ENTRIES,  /* instance list of the entries */
+	PLUG_ITEM_DOMAINS,  /* names of the lists of entries */
+	PLUG_ITEM_ENTRIES,  /* instance list of the entries of a domain */
 	PLUG_ITEM_DOCUMENT, /* service document */
 	PLUG_ITEM_MEMBERS,  /* instance list of a service */
 };
@@ -22,7 +24,8 @@
  * struct plug_item - a key, what is held of it and what is known of it
  * @kind: kind of value
  * @key: key
- * @name: name of the service, the part of @key after the prefix
+ * @name: name of the service or domain, the part of @key after the prefix
+ * @domain: hash of the domain's name for a list of entries, else 0
  * @version: version held, 0 for none
  * @hash: hash of the value held
  * @sequence: order of acceptance in this process
@@ -42,6 +45,7 @@
 	enum plug_item_kind kind;
 	char key[PLUG_KEY_SIZE];
 	const char *name;
+	uint32_t domain;
 	uint64_t version;
 	uint64_t hash;
 	uint64_t sequence;
@@ -61,6 +65,7 @@
 /**
  * struct plug_catalog - validated values of all keys of a process
  * @service: service name of an agent; empty for an entry, which holds all
+ * @domain: name of an agent's failure domain, whose entries it holds
  * @store: accepted bytes
  * @count: length of @items
  * @items: items ordered by key
@@ -69,6 +74,7 @@
  */
 struct plug_catalog {
 	char service[PLUG_NAME_SIZE];
+	char domain[PLUG_NAME_SIZE];
 	struct plug_keystore store;
 	unsigned int count;
 	struct plug_item **items;
@@ -76,8 +82,8 @@
 	uint64_t view_sequence;
 };
 
-enum plug_code
-plug_catalog_init(struct plug_catalog *catalog, struct plug_str service);
+enum plug_code plug_catalog_init(struct plug_catalog *catalog,
+    struct plug_str service, struct plug_str domain);
 void plug_catalog_finish(struct plug_catalog *catalog);
 struct plug_item *
 plug_catalog_find(const struct plug_catalog *catalog, const char *key);
@@ -88,9 +94,11 @@
     uint64_t version, struct plug_str data, struct plug_status *status);
 const struct plug_item *
 plug_catalog_service(const struct plug_catalog *catalog, uint32_t service);
-bool plug_item_in_scope(const struct plug_item *item, const char *service);
-uint64_t
-plug_catalog_digest(const struct plug_catalog *catalog, const char *service);
+unsigned int plug_catalog_entry_count(const struct plug_catalog *catalog);
+bool plug_item_in_scope(
+    const struct plug_item *item, const char *service, uint32_t domain);
+uint64_t plug_catalog_digest(
+    const struct plug_catalog *catalog, const char *service, uint32_t domain);
 struct plug_view *plug_catalog_view(const struct plug_catalog *catalog);
 
 #endif
--- a/libplantainlug/gossip.h
+++ b/libplantainlug/gossip.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "node.h"
+#include "partners.h"
 #include "peerset.h"
 
 #define PLUG_INQUIRY_PEERS 3 /* peers that a newcomer asks */
@@ -12,7 +13,8 @@
  * struct plug_inquiry - a question for the current versions
  * @open: the view is not confirmed
  * @started: when it began
- * @sent: last time that peers were asked
+ * @pause: shortest time between the last two questions to peers
+ * @repeat_at: when other peers are asked
  * @answer: last answer, or @started
  * @nonce: marks the answers
  * @answered: peers that have answered
@@ -21,7 +23,8 @@
 struct plug_inquiry {
 	bool open;
 	plug_time started;
-	plug_time sent;
+	plug_time pause;
+	plug_time repeat_at;
 	plug_time answer;
 	uint64_t nonce;
 	struct plug_endpoint answered[PLUG_INQUIRY_PEERS];
@@ -34,6 +37,7 @@
  * @config: what the process knows of itself, without strings and seeds
  * @catalog: values held
  * @peers: peers known
+ * @partners: those that get digests
  * @inquiry: open while the view is not confirmed
  * @heard: last message from a peer, or PLUG_NEVER
  * @next_digest: when the next digests are due
@@ -46,6 +50,7 @@
 	struct plug_node_config config;
 	struct plug_catalog catalog;
 	struct plug_peerset peers;
+	struct plug_partners partners;
 	struct plug_inquiry inquiry;
 	plug_time heard;
 	plug_time next_digest;
--- a/libplantainlug/keystore.c
+++ b/libplantainlug/keystore.c
@@ -167,14 +167,15 @@
 	return PLUG_OK;
 }
 
-/* Keys "KIND/NAME" belong to the scope NAME. */
+/* Keys "KIND/NAME" belong to the scope NAME, which may hold a slash itself. */
 static bool
 in_scope(struct plug_str key, struct plug_str scope)
 {
 	if (scope.len == 0)
 		return true;
 	return key.len > scope.len &&
-	       key.data[key.len - scope.len - 1] == '/' &&
+	       memchr(key.data, '/', key.len) ==
+		   &key.data[key.len - scope.len - 1] &&
 	       memcmp(&key.data[key.len - scope.len], scope.data, scope.len) ==
 		   0;
 }
@@ -182,7 +183,8 @@
 /**
  * plug_keystore_digest() - one hash over keys and versions
  * @store: store
- * @scope: name of a service, for its keys only; empty for all keys
+ * @scope: name of a service, or entries/DOMAIN, for its keys only; empty for
+ *         all keys
  *
  * Contents are left out: two contents of one version are a conflict that
  * exchanging versions can't settle.
--- a/libplantainlug/node.h
+++ b/libplantainlug/node.h
@@ -9,6 +9,7 @@
  * @instance: random id of this run
  * @endpoint: own control and traffic address
  * @domain: hash of the own failure domain's name
+ * @domain_name: its name
  * @service: service id of an agent; 0 for an entry, which holds all services
  * @service_name: service name of an agent; empty for an entry
  * @seeds: peers from the settings, @seed_count of them
@@ -17,6 +18,7 @@
 	uint64_t instance;
 	struct plug_endpoint endpoint;
 	uint32_t domain;
+	struct plug_str domain_name;
 	uint32_t service;
 	struct plug_str service_name;
 	const struct plug_endpoint *seeds;
--- a/libplantainlug/peerset.h
+++ b/libplantainlug/peerset.h
@@ -5,7 +5,7 @@
 
 enum plug_peer_kind {
 	PLUG_PEER_SEED = 1,    /* named in the settings */
-	PLUG_PEER_ENTRY = 2,   /* live in instances/entries */
+	PLUG_PEER_ENTRY = 2,   /* live in a list of entries */
 	PLUG_PEER_SIBLING = 4, /* agent of the own service */
 };
 
--- a/net/control.c
+++ b/net/control.c
@@ -354,6 +354,7 @@
 		.instance = control->instance,
 		.endpoint = control->endpoint,
 		.domain = plug_domain_hash(plug_str_from(settings->domain)),
+		.domain_name = plug_str_from(settings->domain),
 		.service = agent ? settings->service_id : 0,
 		.service_name =
 		    agent ? plug_str_from(settings->service) : PLUG_STR(""),
--- a/standins/configservice.c
+++ b/standins/configservice.c
@@ -208,6 +208,8 @@
 	dir = opendir(service->dir);
 	while (dir != NULL && (entry = readdir(dir)) != NULL)
 		changed |= scan_kind(service, entry->d_name);
+	/* The only keys below a key's directory. */
+	changed |= scan_kind(service, "instances/entries");
 	if (dir != NULL)
 		(void)closedir(dir);
 	if (service->count != before)
