--- a/tests/scenario/config.c
+++ b/tests/scenario/config.c
@@ -76,9 +76,10 @@
 	key->version = key->old_version;
 }
 
-/* Publishes who runs, as seen now, after the lag of the instance list. */
+/* Publishes who runs, as seen now, after the lag of the instance list: the
+ * hosts of a service, or the entries of a domain when service is -1. */
 void
-config_members(int service)
+config_members(int service, int domain)
 {
 	const char *list = "[";
 	struct event *event;
@@ -87,7 +88,8 @@
 		const struct process *p = &world.processes[i];
 		uint32_t address = p->endpoint.address;
 
-		if (p->alive && p->service == service)
+		if (p->alive && p->service == service &&
+		    (service >= 0 || p->domain == domain))
 			list = apr_psprintf(world.pool,
 			    "%s%s{\"name\":\"%s\",\"address\":\"10.%u.%u.%u:%u"
 			    "\",\"domain\":\"d%d\",\"state\":\"%s\"}",
@@ -98,8 +100,10 @@
 	}
 	event =
 	    event_new(world.now == 0 ? 0 : world.list_lag, EV_PUBLISH, 0, 0);
-	event->key = apr_pstrcat(world.pool, "instances/",
-	    service < 0 ? "entries" : world.services[service].name, NULL);
+	event->key = service < 0 ? apr_psprintf(world.pool,
+				       "instances/entries/d%d", domain + 1)
+				 : apr_pstrcat(world.pool, "instances/",
+				       world.services[service].name, NULL);
 	event->data = (uint8_t *)apr_pstrcat(world.pool, list, "]", NULL);
 }
 
--- a/tests/scenario/process.c
+++ b/tests/scenario/process.c
@@ -110,13 +110,14 @@
 {
 	const struct plug_endpoint fabric = { (uint32_t)p->domain,
 		FABRIC_PORT };
-	const uint32_t domain = plug_domain_hash(
-	    plug_str_from(apr_psprintf(world.pool, "d%d", p->domain + 1)));
+	const struct plug_str domain_name =
+	    plug_str_from(apr_psprintf(world.pool, "d%d", p->domain + 1));
+	const uint32_t domain = plug_domain_hash(domain_name);
 	const bool entry = p->service < 0;
 	const uint32_t service =
 	    entry ? 0 : (uint32_t)p->service + SERVICE_BASE;
 	const struct plug_node_config node = { p->instance, p->endpoint, domain,
-		service,
+		domain_name, service,
 		plug_str_from(entry ? "" : world.services[p->service].name),
 		p->seeds, p->seed_count };
 	const struct plug_agent_config agent = { p->instance, p->endpoint,
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -182,7 +182,7 @@
 	}
 	p->leaving = true;
 	p->leave_time = world.now;
-	config_members(p->service);
+	config_members(p->service, p->domain);
 	(void)event_new(0, AGENT(STOP), p->index, p->epoch);
 }
 
@@ -419,6 +419,16 @@
 	return line_count;
 }
 
+static bool
+domain_has_entries(int domain)
+{
+	for (int i = 0; i < world.process_count; i++)
+		if (world.processes[i].service < 0 &&
+		    world.processes[i].domain == domain)
+			return true;
+	return false;
+}
+
 /* Builds the world of the header and queues the timed commands. */
 void
 script_setup(void)
@@ -443,6 +453,14 @@
 		    i > 0 ? "," : "", world.services[i].name);
 	}
 	config_store("service/?keys", apr_psprintf(world.pool, "[%s]", list));
+	list = "";
+	for (int i = 0; i < DOMAINS; i++)
+		if (domain_has_entries(i))
+			list = apr_psprintf(world.pool,
+			    "%s%s\"instances/entries/d%d\"", list,
+			    list[0] != '\0' ? "," : "", i + 1);
+	config_store(
+	    "instances/entries/?keys", apr_psprintf(world.pool, "[%s]", list));
 	for (int i = 0; i < world.process_count; i++) {
 		if (world.processes[i].service >= 0)
 			upstream_start(&world.processes[i], LONG_UPTIME);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -165,7 +165,7 @@
 	memset(p->seen, 0, sizeof(p->seen));
 	process_create(p);
 	start_ticks(p);
-	config_members(p->service);
+	config_members(p->service, p->domain);
 	if (p->upstream.alive)
 		upstream_reconnect(p);
 }
@@ -184,7 +184,7 @@
 	p->gone = crash ? world.now : -PLUG_SEC * SECONDS_MAX;
 	p->epoch = ++world.seq;
 	p->upstream.connection = 0;
-	config_members(p->service);
+	config_members(p->service, p->domain);
 }
 
 /* Continues a paused process; what waited in its sockets comes first. */
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -250,7 +250,7 @@
 void config_store(const char *name, const char *data);
 void config_document(int index, bool corrupt);
 void config_rollback(int index);
-void config_members(int service);
+void config_members(int service, int domain);
 void config_poll(struct process *p);
 
 /* callers.c */
