Split the RPC connection from the upstream stand-in

Cause: standins/upstream.c had 815 lines with two jobs: ONC RPC over record marking, and the work of a server with slots. The reserved procedure numbers stood there and in net/upstream.c. Ruled out: net/record.c for the stand-in, whose limits differ and which the stand-in is meant to test from the other side. Change: standins/connection.c has buffers, records and replies; packet.h has PLUG_PROCEDURE_CANCEL and PLUG_PROCEDURE_HEALTH. Conclusion: the wire format and the record file are unchanged.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -11,18 +11,16 @@
 #include "record.h"
 #include "upstream.h"
 
-#define PROCEDURE_CANCEL 0x7fff0001U /* design 3.1 */
-#define PROCEDURE_HEALTH 0x7fff0002U /* design 3.1 */
-#define CALLS_MAX	 4096	     /* calls in flight; a power of two */
-#define READ_SIZE	 65536	     /* bytes for each read */
-#define READS_PER_EVENT	 16	     /* so that UDP is served between reads */
-#define HEALTH_INTERVAL	 PLUG_SEC
-#define SILENCE_TIMEOUT	 (3 * PLUG_SEC) /* design 4.9, agent to upstream */
-#define CONNECT_TIMEOUT	 (3 * PLUG_SEC)
-#define BACKOFF_MIN	 (50 * PLUG_MSEC)
-#define BACKOFF_MAX	 PLUG_SEC /* a restarted upstream is found this soon */
-#define HEALTH_NUMBERS	 3	  /* uptime, load, draining */
-#define LOAD_UNIT	 1000.0	  /* the load is published in thousandths */
+#define CALLS_MAX	4096  /* calls in flight; a power of two */
+#define READ_SIZE	65536 /* bytes for each read */
+#define READS_PER_EVENT 16    /* so that UDP is served between reads */
+#define HEALTH_INTERVAL PLUG_SEC
+#define SILENCE_TIMEOUT (3 * PLUG_SEC) /* design 4.9, agent to upstream */
+#define CONNECT_TIMEOUT (3 * PLUG_SEC)
+#define BACKOFF_MIN	(50 * PLUG_MSEC)
+#define BACKOFF_MAX	PLUG_SEC /* a restarted upstream is found this soon */
+#define HEALTH_NUMBERS	3	 /* uptime, load, draining */
+#define LOAD_UNIT	1000.0	 /* the load is published in thousandths */
 
 enum call_kind {
 	CALL_NONE,
@@ -55,8 +53,8 @@
 	plug_time health_at;
 	uint32_t xid;
 	unsigned int call_count;
-	struct call
-	    calls[CALLS_MAX]; /* a call is at its xid modulo CALLS_MAX */
+	/* A call is at its xid modulo CALLS_MAX. */
+	struct call calls[CALLS_MAX];
 	struct plug_record_reader reader;
 	uint8_t *output;
 	size_t output_len;
@@ -239,7 +237,7 @@
 		if (call->kind != CALL_REQUEST || call->id != id)
 			continue;
 		xid = htonl(call->xid);
-		start_call(upstream, CALL_CANCEL, 0, PROCEDURE_CANCEL, 0,
+		start_call(upstream, CALL_CANCEL, 0, PLUG_PROCEDURE_CANCEL, 0,
 		    (struct plug_str){ (const char *)&xid, sizeof(xid) });
 		return;
 	}
@@ -440,7 +438,7 @@
 	upstream->health_at = now + HEALTH_INTERVAL;
 	start_call(upstream, CALL_NULL, 0, PLUG_PROCEDURE_NULL, 0,
 	    (struct plug_str){ "", 0 });
-	start_call(upstream, CALL_HEALTH, 0, PROCEDURE_HEALTH, 0,
+	start_call(upstream, CALL_HEALTH, 0, PLUG_PROCEDURE_HEALTH, 0,
 	    (struct plug_str){ "", 0 });
 }
 
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -14,41 +14,21 @@
 
 #include "cli/commands.h"
 #include "libplantainlug/agent.h"
-#include "net/buffer.h"
+#include "connection.h"
 #include "standin.h"
 #include "workload.h"
 
-#define PROCEDURE_CANCEL 0x7fff0001U
-#define PROCEDURE_HEALTH 0x7fff0002U
-#define CONNECTIONS_MAX	 16
-#define RECORD_MAX	 8192	   /* bytes of one call */
-#define ANSWER_MAX	 (4 << 20) /* bytes */
-#define RESULTS_SPARE	 512	   /* bytes around an answer in its record */
-#define LAST_FRAGMENT	 0x80000000U
-#define VERF_SIZE	 16 /* bytes: floor, attempt, budget_ms, offset */
-#define QUEUE_PER_SLOT	 8  /* requests that wait when warm */
-#define SAMPLE_INTERVAL	 (100 * PLUG_MSEC)
-#define SAMPLES		 600 /* one minute of load samples */
-#define LONGEST_POLL	 (100 * PLUG_MSEC)
-#define LOAD_SCALE	 1000 /* the load is published in thousandths */
-#define BULK_MIN	 (PLUG_BLOCK_SIZE + 1) /* bytes of a bulk answer */
-#define ENDPOINT_TEXT	 24
-#define LINE_SIZE	 240 /* bytes of one line in the record file */
-
-struct buffer {
-	uint8_t *data;
-	size_t len;
-	size_t capacity;
-};
-
-struct connection {
-	int fd;
-	uint64_t id; /* never reused, unlike the place in the array */
-	bool silent; /* neither read nor answered any more */
-	struct buffer in;
-	struct buffer record; /* fragments so far */
-	struct buffer out;
-};
+#define CONNECTIONS_MAX 16
+#define ANSWER_MAX	(4 << 20) /* bytes */
+#define VERF_SIZE	16	  /* bytes: floor, attempt, budget_ms, offset */
+#define QUEUE_PER_SLOT	8	  /* requests that wait when warm */
+#define SAMPLE_INTERVAL (100 * PLUG_MSEC)
+#define SAMPLES		600 /* one minute of load samples */
+#define LONGEST_POLL	(100 * PLUG_MSEC)
+#define LOAD_SCALE	1000 /* the load is published in thousandths */
+#define BULK_MIN	(PLUG_BLOCK_SIZE + 1) /* bytes of a bulk answer */
+#define ENDPOINT_TEXT	24
+#define LINE_SIZE	240 /* bytes of one line in the record file */
 
 struct job {
 	struct job *next;
@@ -78,7 +58,7 @@
 	plug_time started;
 	bool draining;
 	uint64_t next_id;
-	struct connection connections[CONNECTIONS_MAX];
+	struct plug_connection connections[CONNECTIONS_MAX];
 	struct job *jobs; /* in order of arrival */
 	unsigned int running;
 	unsigned int waiting;
@@ -88,31 +68,6 @@
 	uint64_t done, shed, failed, cancelled, restarts;
 };
 
-static bool
-append(struct buffer *buffer, const void *data, size_t len)
-{
-	if (!plug_buffer_reserve(
-		&buffer->data, &buffer->capacity, buffer->len + len))
-		return false;
-	memcpy(buffer->data + buffer->len, data, len);
-	buffer->len += len;
-	return true;
-}
-
-static void
-consume(struct buffer *buffer, size_t len)
-{
-	buffer->len -= len;
-	memmove(buffer->data, buffer->data + len, buffer->len);
-}
-
-static void
-release_buffer(struct buffer *buffer)
-{
-	free(buffer->data);
-	*buffer = (struct buffer){ 0 };
-}
-
 static void
 remove_job(struct upstream *up, struct job **place)
 {
@@ -128,7 +83,7 @@
 
 /* Work that runs goes on without its connection; what waits is dropped. */
 static void
-close_connection(struct upstream *up, struct connection *connection)
+close_connection(struct upstream *up, struct plug_connection *connection)
 {
 	struct job **place = &up->jobs;
 
@@ -139,18 +94,14 @@
 		else
 			place = &(*place)->next;
 	}
-	(void)close(connection->fd);
-	release_buffer(&connection->in);
-	release_buffer(&connection->record);
-	release_buffer(&connection->out);
-	connection->fd = -1;
+	plug_connection_close(connection);
 }
 
-static struct connection *
+static struct plug_connection *
 find_connection(struct upstream *up, uint64_t id)
 {
 	for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
-		struct connection *connection = &up->connections[i];
+		struct plug_connection *connection = &up->connections[i];
 
 		if (connection->fd >= 0 && connection->id == id)
 			return connection;
@@ -158,61 +109,14 @@
 	return NULL;
 }
 
-/* A broken connection is closed when it is next read. */
-static void
-flush(struct connection *connection)
-{
-	ssize_t n;
-
-	if (connection->out.len == 0 || connection->silent)
-		return;
-	n = send(connection->fd, connection->out.data, connection->out.len,
-	    MSG_NOSIGNAL);
-	if (n > 0)
-		consume(&connection->out, (size_t)n);
-	else if (n < 0 && errno != EAGAIN && errno != EINTR)
-		connection->out.len = 0;
-}
-
-static bool_t
-code_no_results(XDR *xdr, ...)
-{
-	(void)xdr;
-	return 1;
-}
-
 static void
 reply(struct upstream *up, uint64_t to, uint32_t xid, enum accept_stat stat,
     enum plug_upstream_result result, const uint8_t *body, uint32_t len)
 {
-	struct connection *connection = find_connection(up, to);
-	uint32_t number = (uint32_t)result, mark;
-	struct rpc_msg msg = { 0 };
-	uint8_t *buf;
-	XDR xdr;
+	struct plug_connection *connection = find_connection(up, to);
 
-	if (connection == NULL)
-		return;
-	buf = malloc(len + RESULTS_SPARE);
-	if (buf == NULL)
-		return;
-	msg.rm_xid = xid;
-	msg.rm_direction = REPLY;
-	msg.rm_reply.rp_stat = MSG_ACCEPTED;
-	msg.acpted_rply.ar_stat = stat;
-	msg.acpted_rply.ar_results.proc = code_no_results;
-	xdrmem_create(&xdr, (char *)buf, len + RESULTS_SPARE, XDR_ENCODE);
-	if (xdr_replymsg(&xdr, &msg) &&
-	    (stat != SUCCESS ||
-		(xdr_uint32_t(&xdr, &number) && xdr_uint32_t(&xdr, &len) &&
-		    (len == 0 ||
-			xdr_opaque(&xdr, (char *)(uintptr_t)body, len))))) {
-		mark = htonl(LAST_FRAGMENT | xdr_getpos(&xdr));
-		(void)append(&connection->out, &mark, sizeof(mark));
-		(void)append(&connection->out, buf, xdr_getpos(&xdr));
-	}
-	free(buf);
-	flush(connection);
+	if (connection != NULL)
+		plug_connection_reply(connection, xid, stat, result, body, len);
 }
 
 static double
@@ -433,7 +337,7 @@
 	uint32_t len;
 
 	*body = (struct plug_str){ NULL, 0 };
-	if (!xdr_uint32_t(xdr, &len) || len > RECORD_MAX)
+	if (!xdr_uint32_t(xdr, &len) || len > PLUG_CONNECTION_RECORD_MAX)
 		return false;
 	if (len > 0) {
 		body->data = (char *)XDR_INLINE(xdr, RNDUP(len));
@@ -460,7 +364,7 @@
 
 static bool
 handle_call(struct upstream *up, plug_time now, uint64_t from,
-    const struct buffer *record)
+    const struct plug_bytes *record)
 {
 	char cred[MAX_AUTH_BYTES], verf[MAX_AUTH_BYTES];
 	struct rpc_msg msg = { 0 };
@@ -480,19 +384,19 @@
 	}
 	if (!get_arguments(&xdr, &body) &&
 	    call->cb_proc != PLUG_PROCEDURE_NULL &&
-	    call->cb_proc != PROCEDURE_HEALTH) {
+	    call->cb_proc != PLUG_PROCEDURE_HEALTH) {
 		reply(up, from, msg.rm_xid, GARBAGE_ARGS, 0, NULL, 0);
 		return true;
 	}
 	switch (call->cb_proc) {
-	case PROCEDURE_CANCEL:
+	case PLUG_PROCEDURE_CANCEL:
 		cancel(up, from, body);
 		/* FALLTHROUGH */
 	case PLUG_PROCEDURE_NULL:
 		reply(
 		    up, from, msg.rm_xid, SUCCESS, PLUG_UPSTREAM_DONE, NULL, 0);
 		break;
-	case PROCEDURE_HEALTH:
+	case PLUG_PROCEDURE_HEALTH:
 		report_health(up, now, from, msg.rm_xid);
 		break;
 	default:
@@ -502,51 +406,39 @@
 	return true;
 }
 
-/* Takes whole fragments off the input; returns false on a protocol error. */
+/* Handles whole calls; returns false on a protocol error. */
 static bool
-take_fragments(
-    struct upstream *up, plug_time now, struct connection *connection)
+handle_calls(
+    struct upstream *up, plug_time now, struct plug_connection *connection)
 {
-	uint64_t id = connection->id;
-	uint32_t mark, len;
-
-	while (connection->fd >= 0 && connection->id == id &&
-	       connection->in.len >= sizeof(mark)) {
-		memcpy(&mark, connection->in.data, sizeof(mark));
-		mark = ntohl(mark);
-		len = mark & ~LAST_FRAGMENT;
-		if (len + connection->record.len > RECORD_MAX)
-			return false;
-		if (connection->in.len < sizeof(mark) + len)
+	for (;;) {
+		switch (plug_connection_next(connection)) {
+		case PLUG_CONNECTION_INCOMPLETE:
 			return true;
-		if (!append(&connection->record,
-			connection->in.data + sizeof(mark), len))
-			return false;
-		consume(&connection->in, sizeof(mark) + len);
-		if (!(mark & LAST_FRAGMENT))
-			continue;
-		if (!handle_call(up, now, id, &connection->record))
+		case PLUG_CONNECTION_INVALID:
 			return false;
-		connection->record.len = 0;
+		case PLUG_CONNECTION_RECORD:
+			if (!handle_call(
+				up, now, connection->id, &connection->record))
+				return false;
+			connection->record.len = 0;
+			break;
+		}
 	}
-	return true;
 }
 
 static void
 read_connection(
-    struct upstream *up, plug_time now, struct connection *connection)
+    struct upstream *up, plug_time now, struct plug_connection *connection)
 {
-	uint8_t buf[RECORD_MAX];
-	uint64_t id = connection->id;
+	uint8_t buf[PLUG_CONNECTION_RECORD_MAX];
 	ssize_t n = recv(connection->fd, buf, sizeof(buf), 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	if (n <= 0 || !append(&connection->in, buf, (size_t)n) ||
-	    !take_fragments(up, now, connection)) {
-		if (connection->fd >= 0 && connection->id == id)
-			close_connection(up, connection);
-	}
+	if (n <= 0 || !plug_connection_receive(connection, buf, (size_t)n) ||
+	    !handle_calls(up, now, connection))
+		close_connection(up, connection);
 }
 
 static void
@@ -558,12 +450,12 @@
 	if (fd < 0)
 		return;
 	for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
-		struct connection *connection = &up->connections[i];
+		struct plug_connection *connection = &up->connections[i];
 
 		if (connection->fd >= 0)
 			continue;
 		*connection =
-		    (struct connection){ .fd = fd, .id = ++up->next_id };
+		    (struct plug_connection){ .fd = fd, .id = ++up->next_id };
 		return;
 	}
 	(void)close(fd);
@@ -641,7 +533,8 @@
 		sample_load(up, now);
 		due = work(up, now);
 		for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
-			struct connection *connection = &up->connections[i];
+			struct plug_connection *connection =
+			    &up->connections[i];
 
 			polled[i] = (struct pollfd){
 				.fd = connection->silent ? -1 : connection->fd,
@@ -659,10 +552,11 @@
 		    plug_standin_poll_wait(now, due, LONGEST_POLL));
 		now = plug_standin_now();
 		for (size_t i = 0; i < CONNECTIONS_MAX; i++) {
-			struct connection *connection = &up->connections[i];
+			struct plug_connection *connection =
+			    &up->connections[i];
 
 			if (polled[i].revents & POLLOUT)
-				flush(connection);
+				plug_connection_flush(connection);
 			if (!connection->silent &&
 			    connection->fd == polled[i].fd &&
 			    polled[i].revents & (POLLIN | POLLHUP | POLLERR))
