Name the counts of numbers in verifiers and results

Cause: packet.c passed 4 and 5 to the coder of numbers, the upstream stand-in read the time left as numbers[2], and clang-format broke three help texts into odd pieces. Change: named constants, and local variables for the help texts, whose words are the same. Conclusion: no behavior changes.

--- a/libplantainlug/packet.c
+++ b/libplantainlug/packet.c
@@ -10,7 +10,9 @@
 
 #include "packet.h"
 
-#define VERF_SIZE	16 /* bytes: floor, attempt, budget_ms, offset */
+#define VERF_NUMBERS	4  /* floor, attempt, budget_ms, offset */
+#define VERF_SIZE	16 /* bytes of the numbers */
+#define RESULT_NUMBERS	5  /* outcome, retry_after_ms, total, offset, crc */
 #define RESULT_MIN_SIZE 24 /* bytes: results without the block */
 
 _Static_assert(sizeof(struct ip) + sizeof(struct udphdr) == PLUG_PACKET_HEADER,
@@ -238,7 +240,7 @@
 			    "verifier of %u bytes",
 			    (unsigned int)body->cb_verf.oa_length);
 		xdrmem_create(&xdr, auth.verf, VERF_SIZE, XDR_DECODE);
-		if (!code_numbers(&xdr, verf, 4))
+		if (!code_numbers(&xdr, verf, VERF_NUMBERS))
 			return plug_status_set(
 			    status, PLUG_E_MALFORMED, "verifier is not valid");
 	}
@@ -281,7 +283,7 @@
 		memcpy(auth.cred, call->token, PLUG_TOKEN_SIZE);
 	}
 	xdrmem_create(&xdr, auth.verf, VERF_SIZE, XDR_ENCODE);
-	if (!code_numbers(&xdr, verf, 4))
+	if (!code_numbers(&xdr, verf, VERF_NUMBERS))
 		return 0;
 	msg.rm_call.cb_verf.oa_flavor = (enum_t)PLUG_CALL_VERF_FLAVOR;
 	msg.rm_call.cb_verf.oa_base = auth.verf;
@@ -342,7 +344,7 @@
 	    msg.acpted_rply.ar_stat != SUCCESS)
 		return plug_status_set(
 		    status, PLUG_E_MALFORMED, "not an accepted RPC reply");
-	if (!code_numbers(&xdr, results, 5) ||
+	if (!code_numbers(&xdr, results, RESULT_NUMBERS) ||
 	    outcome > PLUG_OUTCOME_FLOW_LOST ||
 	    !get_body(&xdr, PLUG_BLOCK_SIZE, &reply->body))
 		return plug_status_set(
@@ -399,7 +401,8 @@
 	}
 	xdrmem_create(&xdr, (char *)buf + PLUG_PACKET_HEADER,
 	    (u_int)(size - PLUG_PACKET_HEADER), XDR_ENCODE);
-	if (!xdr_replymsg(&xdr, &msg) || !code_numbers(&xdr, results, 5) ||
+	if (!xdr_replymsg(&xdr, &msg) ||
+	    !code_numbers(&xdr, results, RESULT_NUMBERS) ||
 	    !put_body(&xdr, reply->body))
 		return 0;
 	len = PLUG_PACKET_HEADER + xdr_getpos(&xdr);
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -527,6 +527,8 @@
 int
 plug_cli_standin_caller(int argc, char **argv)
 {
+	const char *think_help = "mean time between requests of a flow, 250";
+	const char *size_help = "length of a download, 100000";
 	struct arg_str *service =
 	    arg_str1(NULL, "service", "IP:PORT", "service address");
 	struct arg_int *program =
@@ -536,16 +538,12 @@
 	struct arg_int *flows = arg_int0(NULL, "flows", "N", "flows, 20");
 	struct arg_int *seconds =
 	    arg_int0(NULL, "seconds", "S", "length of the load, 10");
-	struct arg_int *think = arg_int0(NULL, "think-ms", "MS",
-	    "mean time between requests of a flow, "
-	    "250");
+	struct arg_int *think = arg_int0(NULL, "think-ms", "MS", think_help);
 	struct arg_int *requests =
 	    arg_int0(NULL, "requests", "N", "most requests, 100000");
 	struct arg_int *bulk =
 	    arg_int0(NULL, "bulk-percent", "N", "share of downloads, 5");
-	struct arg_int *size = arg_int0(NULL, "bulk-size", "BYTES",
-	    "length of a download, "
-	    "100000");
+	struct arg_int *size = arg_int0(NULL, "bulk-size", "BYTES", size_help);
 	struct arg_file *record =
 	    arg_file1(NULL, "record", "FILE", "requests and their outcomes");
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "random seed");
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -21,6 +21,7 @@
 #define CONNECTIONS_MAX 16
 #define ANSWER_MAX	(4 << 20) /* bytes */
 #define VERF_SIZE	16	  /* bytes: floor, attempt, budget_ms, offset */
+#define VERF_BUDGET	2	  /* place of budget_ms among them */
 #define QUEUE_PER_SLOT	8	  /* requests that wait when warm */
 #define SAMPLE_INTERVAL (100 * PLUG_MSEC)
 #define SAMPLES		600 /* one minute of load samples */
@@ -359,7 +360,7 @@
 	    verf->oa_length != sizeof(numbers))
 		return unlimited;
 	memcpy(numbers, verf->oa_base, sizeof(numbers));
-	return ntohl(numbers[2]) * PLUG_MSEC;
+	return ntohl(numbers[VERF_BUDGET]) * PLUG_MSEC;
 }
 
 static bool
@@ -625,15 +626,15 @@
 int
 plug_cli_standin_upstream(int argc, char **argv)
 {
+	const char *short_help =
+	    "service time of an answer that fits a packet, 10";
 	struct arg_str *listen =
 	    arg_str1(NULL, "listen", "IP:PORT", "port 0 is ephemeral");
 	struct arg_int *service =
 	    arg_int1(NULL, "service-id", "N", "RPC program number");
 	struct arg_int *slots =
 	    arg_int0(NULL, "slots", "N", "requests at a time, 2");
-	struct arg_int *short_ms = arg_int0(NULL, "short-ms", "MS",
-	    "service time of an answer that "
-	    "fits a packet, 10");
+	struct arg_int *short_ms = arg_int0(NULL, "short-ms", "MS", short_help);
 	struct arg_int *bulk_ms = arg_int0(
 	    NULL, "bulk-ms", "MS", "service time of larger answers, 50");
 	struct arg_int *cold_slots =
