Refuse requests in one function and name the size of endpoint texts

Cause: two functions logged and ended refused requests, with different keys in event=refuse; "ip:port" buffers had four sizes; one event named the other process "remote" and all others "peer".

Ruled out: renaming target= in placement lines, which explain reads.

Change: plug_agent_refuse(); PLUG_ENDPOINT_TEXT; peer= in peer_malformed.

--- a/libplantainlug/agent_flow.c
+++ b/libplantainlug/agent_flow.c
@@ -48,7 +48,7 @@
 log_placement(struct plug_agent *agent, const char *verdict, const char *reason,
     uint64_t flow, const struct plug_endpoint *target)
 {
-	char buf[32] = "-";
+	char buf[PLUG_ENDPOINT_TEXT] = "-";
 
 	if (target != NULL)
 		(void)plug_endpoint_format(*target, buf, sizeof(buf));
--- a/libplantainlug/agent_internal.h
+++ b/libplantainlug/agent_internal.h
@@ -104,6 +104,8 @@
     uint64_t flow, uint16_t generation, uint8_t wire[PLUG_TOKEN_SIZE]);
 
 /* agent_request.c */
+void plug_agent_refuse(struct plug_agent *agent, plug_time now,
+    struct plug_request *request, const char *reason, uint32_t retry_after_ms);
 void plug_agent_request(struct plug_agent *agent, plug_time now,
     struct plug_flow *flow, const struct plug_call *call);
 void plug_agent_settle(
--- a/libplantainlug/agent_move.c
+++ b/libplantainlug/agent_move.c
@@ -24,7 +24,7 @@
 log_move(
     struct plug_agent *agent, const char *verdict, const struct plug_flow *flow)
 {
-	char peer[32];
+	char peer[PLUG_ENDPOINT_TEXT];
 
 	(void)plug_endpoint_format(flow->peer, peer, sizeof(peer));
 	plug_client_log(agent->client, PLUG_LOG_INFO,
@@ -395,7 +395,7 @@
 	const struct plug_sibling *sibling;
 	struct plug_flow *flow = NULL;
 	unsigned int count = 0;
-	char target[32];
+	char target[PLUG_ENDPOINT_TEXT];
 
 	sibling = plug_placement_lighter(&agent->placement, agent->client, now,
 	    agent->service, agent->config.domain, load);
--- a/libplantainlug/agent_request.c
+++ b/libplantainlug/agent_request.c
@@ -1,18 +1,30 @@
 #include "agent_internal.h"
 
-/* Answers a request with "not run". Its record keeps the refusal, so that a
- * late duplicate gets the same answer and doesn't run. */
-static void
-refuse(struct plug_agent *agent, plug_time now, struct plug_request *request,
-    const char *reason, uint32_t retry_after_ms)
+/**
+ * plug_agent_refuse() - answer a request with "not run"
+ * @agent: agent
+ * @now: time
+ * @request: request that waits; its flow is NULL when the record is gone
+ * @reason: why, for the log
+ * @retry_after_ms: when the caller may come back
+ *
+ * The record keeps the refusal, so that a late duplicate gets the same answer
+ * and doesn't run. An earlier attempt that broke may have run, so the answer is
+ * then "unknown".
+ */
+void
+plug_agent_refuse(struct plug_agent *agent, plug_time now,
+    struct plug_request *request, const char *reason, uint32_t retry_after_ms)
 {
+	const struct plug_flow *flow = request->flow;
+
 	request->retry_after_ms = retry_after_ms;
 	plug_client_log(agent->client, PLUG_LOG_INFO,
 	    "event=refuse reason=%s flow=%016llx xid=%u procedure=%u "
 	    "retry_after_ms=%u running=%u queued=%u limit=%u version=%llu",
-	    reason, (unsigned long long)request->flow->id, request->xid,
-	    request->procedure, retry_after_ms, agent->limiter.running,
-	    plug_limiter_queued(&agent->limiter),
+	    reason, flow != NULL ? (unsigned long long)flow->id : 0,
+	    request->xid, request->procedure, retry_after_ms,
+	    agent->limiter.running, plug_limiter_queued(&agent->limiter),
 	    plug_limiter_limit(&agent->limiter),
 	    (unsigned long long)plug_agent_version(agent));
 	plug_agent_finish(agent, now, request,
@@ -91,7 +103,7 @@
 		if (request == NULL || request->state != PLUG_REQUEST_QUEUED)
 			continue;
 		take_from_queue(agent, request);
-		refuse(agent, now, request, reason, retry_after_ms);
+		plug_agent_refuse(agent, now, request, reason, retry_after_ms);
 	}
 }
 
@@ -163,21 +175,23 @@
 	enum plug_code code;
 
 	if (request->flow->state == PLUG_FLOW_FROZEN) {
-		refuse(agent, now, request, "moving",
+		plug_agent_refuse(agent, now, request, "moving",
 		    moving_retry_ms(request->flow, now));
 		return;
 	}
 	if (plug_agent_leaving(agent)) {
-		refuse(agent, now, request, "leaving", leave_retry_ms(agent));
+		plug_agent_refuse(
+		    agent, now, request, "leaving", leave_retry_ms(agent));
 		return;
 	}
 	if (plug_agent_upstream_down(agent, now)) {
-		refuse(agent, now, request, "no_upstream", PLUG_RETRY_LATER_MS);
+		plug_agent_refuse(
+		    agent, now, request, "no_upstream", PLUG_RETRY_LATER_MS);
 		return;
 	}
 	if (!request->idempotent &&
 	    agent->flows.answers.kept_bytes > PLUG_KEPT_BYTES_MAX) {
-		refuse(
+		plug_agent_refuse(
 		    agent, now, request, "answers_full", PLUG_RETRY_LATER_MS);
 		return;
 	}
@@ -186,10 +200,11 @@
 		code = plug_limiter_push(
 		    limiter, &request->queue, request->deadline, request->bulk);
 	if (code == PLUG_E_FULL)
-		refuse(agent, now, request, "queue_full",
+		plug_agent_refuse(agent, now, request, "queue_full",
 		    plug_limiter_wait_ms(limiter));
 	else if (code != PLUG_OK)
-		refuse(agent, now, request, "memory", PLUG_RETRY_LATER_MS);
+		plug_agent_refuse(
+		    agent, now, request, "memory", PLUG_RETRY_LATER_MS);
 	else
 		plug_agent_dispatch(agent, now);
 }
@@ -218,7 +233,7 @@
 	if (request == NULL)
 		return;
 	if (operation == NULL) {
-		refuse(agent, now, request, "no_operation", 0);
+		plug_agent_refuse(agent, now, request, "no_operation", 0);
 		return;
 	}
 	prepare(now, request, operation, call);
@@ -340,7 +355,7 @@
 			    (struct plug_request *)entry;
 
 			take_from_queue(agent, request);
-			refuse(
+			plug_agent_refuse(
 			    agent, now, request, reason, PLUG_RETRY_LATER_MS);
 		}
 	}
@@ -358,7 +373,7 @@
 		take_from_queue(agent, request);
 		if (plug_limiter_push(&agent->limiter, &request->queue,
 			request->deadline, request->bulk) != PLUG_OK)
-			refuse(agent, now, request, "queue_full",
+			plug_agent_refuse(agent, now, request, "queue_full",
 			    plug_limiter_wait_ms(&agent->limiter));
 	}
 }
@@ -378,7 +393,7 @@
 		struct plug_request *request = (struct plug_request *)entry;
 
 		take_from_queue(agent, request);
-		refuse(agent, now, request, "deadline",
+		plug_agent_refuse(agent, now, request, "deadline",
 		    plug_limiter_wait_ms(&agent->limiter));
 	}
 	release_delayed(agent, now);
--- a/libplantainlug/agent_upstream.c
+++ b/libplantainlug/agent_upstream.c
@@ -274,20 +274,9 @@
 not_run(struct plug_agent *agent, plug_time now, struct plug_request *request,
     const char *reason)
 {
-	if (retry(agent, now, request))
-		return;
-	request->retry_after_ms = plug_limiter_wait_ms(&agent->limiter);
-	plug_client_log(agent->client, PLUG_LOG_INFO,
-	    "event=refuse reason=%s flow=%016llx xid=%u procedure=%u "
-	    "retry_after_ms=%u version=%llu",
-	    reason,
-	    request->flow != NULL ? (unsigned long long)request->flow->id : 0,
-	    request->xid, request->procedure, request->retry_after_ms,
-	    (unsigned long long)plug_agent_version(agent));
-	/* An earlier attempt that broke may have run. */
-	plug_agent_finish(agent, now, request,
-	    request->may_have_run ? PLUG_REQUEST_UNKNOWN
-				  : PLUG_REQUEST_REFUSED);
+	if (!retry(agent, now, request))
+		plug_agent_refuse(agent, now, request, reason,
+		    plug_limiter_wait_ms(&agent->limiter));
 }
 
 /**
--- a/libplantainlug/packet.c
+++ b/libplantainlug/packet.c
@@ -505,7 +505,7 @@
  * plug_endpoint_format() - write "ip:port"
  * @endpoint: endpoint
  * @buf: result, with a final NUL
- * @size: size of @buf; 22 bytes always suffice
+ * @size: size of @buf; PLUG_ENDPOINT_TEXT always suffices
  *
  * Return: length of the text in bytes.
  */
--- a/libplantainlug/packet.h
+++ b/libplantainlug/packet.h
@@ -15,6 +15,7 @@
 #define PLUG_BODY_MAX	      1200 /* bytes of a request's arguments */
 #define PLUG_INITIAL_TTL      64   /* hops */
 #define PLUG_RPC_VERSION      1	   /* version of every service's program */
+#define PLUG_ENDPOINT_TEXT    22   /* bytes of "ip:port" with the NUL */
 #define PLUG_PROCEDURE_NULL   0	   /* opens a flow, or is its heartbeat */
 #define PLUG_PROCEDURE_CANCEL 0x7fff0001U /* at an upstream, design 3.1 */
 #define PLUG_PROCEDURE_HEALTH 0x7fff0002U /* at an upstream, design 3.1 */
--- a/libplantainlug/router.c
+++ b/libplantainlug/router.c
@@ -197,7 +197,7 @@
 plug_router_decide(struct plug_router *router, const struct plug_view *view,
     uint8_t *packet, size_t len, struct plug_verdict *verdict)
 {
-	char target[32] = "-";
+	char target[PLUG_ENDPOINT_TEXT] = "-";
 
 	verdict->service = 0;
 	verdict->flow = 0;
--- a/net/control.c
+++ b/net/control.c
@@ -210,7 +210,7 @@
 	const struct plug_peers_counters *peers =
 	    plug_peers_counters(control->peers);
 	const struct plug_settings *settings = control->settings;
-	char address[32];
+	char address[PLUG_ENDPOINT_TEXT];
 	size_t len;
 	int n;
 
@@ -361,7 +361,7 @@
 		.seeds = settings->seeds,
 		.seed_count = settings->seed_count,
 	};
-	char address[32];
+	char address[PLUG_ENDPOINT_TEXT];
 
 	if (settings->config_service_count > 0) {
 		const struct plug_platform_handlers handlers = { receive_value,
--- a/net/link.c
+++ b/net/link.c
@@ -339,7 +339,7 @@
 	    APR_SUCCESS)
 		(void)apr_sockaddr_ip_get(&host, address);
 	plug_log_event(peers->log, PLUG_LOG_WARN,
-	    "event=peer_malformed remote=%s reason=%s count=%llu total=%llu",
+	    "event=peer_malformed peer=%s reason=%s count=%llu total=%llu",
 	    host != NULL ? host : "-", plug_code_name(code),
 	    (unsigned long long)(peers->counters.malformed -
 				 peers->malformed_logged),
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -266,7 +266,7 @@
 close_connection(struct plug_upstream *upstream, plug_time now)
 {
 	bool was_open = upstream->open;
-	char target[32];
+	char target[PLUG_ENDPOINT_TEXT];
 
 	(void)plug_endpoint_format(upstream->target, target, sizeof(target));
 	plug_log_event(upstream->log, PLUG_LOG_WARN,
@@ -318,7 +318,7 @@
 finish_connect(struct plug_upstream *upstream, plug_time now)
 {
 	socklen_t len = sizeof(int);
-	char target[32];
+	char target[PLUG_ENDPOINT_TEXT];
 	int error = 0;
 
 	if (getsockopt(upstream->fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0 ||
--- a/standins/configservice.c
+++ b/standins/configservice.c
@@ -463,7 +463,7 @@
 	struct sigaction action = { .sa_handler = on_signal };
 	struct plug_standin_config *service;
 	struct plug_status status;
-	char address[32];
+	char address[PLUG_ENDPOINT_TEXT];
 
 	service =
 	    plug_standin_config_start(dir, listen, first_version, &status);
--- a/standins/fabric.c
+++ b/standins/fabric.c
@@ -21,7 +21,6 @@
 #define READ_BATCH	256 /* datagrams from one socket before the next */
 #define RELOAD_INTERVAL (200 * PLUG_MSEC)
 #define LONGEST_POLL	(200 * PLUG_MSEC)
-#define ENDPOINT_TEXT	24   /* bytes */
 #define PATH_BYTES	4096 /* bytes of a path, with the NUL */
 
 /* A datagram that waits for its delay to pass. */
@@ -304,7 +303,7 @@
     struct fabric *fabric, struct arg_str *services, const char *listen)
 {
 	struct plug_endpoint endpoint;
-	char text[ENDPOINT_TEXT];
+	char text[PLUG_ENDPOINT_TEXT];
 	size_t n = 0;
 
 	for (int i = 0; i < services->count; i++) {
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -28,7 +28,6 @@
 #define LONGEST_POLL	(100 * PLUG_MSEC)
 #define LOAD_SCALE	1000 /* the load is published in thousandths */
 #define BULK_MIN	(PLUG_BLOCK_SIZE + 1) /* bytes of a bulk answer */
-#define ENDPOINT_TEXT	24
 #define LINE_SIZE	240 /* bytes of one line in the record file */
 
 struct job {
@@ -592,7 +591,7 @@
 open_files(struct upstream *up, const char *listen, const char *record)
 {
 	struct plug_endpoint endpoint;
-	char text[ENDPOINT_TEXT];
+	char text[PLUG_ENDPOINT_TEXT];
 
 	if (!plug_standin_endpoint(listen, &endpoint))
 		return false;
