--- a/tests/scenario/process.c
+++ b/tests/scenario/process.c
@@ -165,7 +165,8 @@
 	action.datagram.data = event->data;
 	action.datagram.len = event->len;
 	if (verdict.kind == PLUG_VERDICT_REPLY) {
-		action.datagram.target.port = FABRIC_PORT;
+		action.datagram.target =
+		    (struct plug_endpoint){ (uint32_t)p->domain, FABRIC_PORT };
 		action.datagram.data = verdict.reply;
 		action.datagram.len = verdict.reply_len;
 	}
