Log dropped packets of an entry at a bounded rate

Cause: an entry counted packets that it dropped and logged none of them, so a sender of garbage or a missing view showed in the status only. Ruled out: a line a second, for which the decision would need the time. Change: a line event=packet_dropped for the counts 1, 2, 4, 8 of each reason. Conclusion: agents still only count bad packets.

--- a/libplantainlug/router.c
+++ b/libplantainlug/router.c
@@ -181,6 +181,21 @@
 	route_flow(service, &call, &token, verdict);
 }
 
+/* Anybody can send packets that are dropped, so only the counts that are powers
+ * of two get a line. */
+static void
+log_drop(const struct plug_router *router, const struct plug_verdict *verdict)
+{
+	const uint64_t count = router->counters[verdict->reason];
+
+	if ((count & (count - 1)) != 0)
+		return;
+	plug_client_log(router->client, PLUG_LOG_WARN,
+	    "event=packet_dropped reason=%s service=%u total=%llu",
+	    plug_route_reason_name(verdict->reason), verdict->service,
+	    (unsigned long long)count);
+}
+
 /**
  * plug_router_decide() - decide what to do with one packet
  * @router: router of the calling thread
@@ -191,7 +206,7 @@
  *
  * Keeps no state for a flow and allocates nothing. Logs opening flows and
  * every decision other than forwarding to the owner; dropped packets are
- * counted only, since anybody can send them.
+ * counted, and logged ever more rarely.
  */
 void
 plug_router_decide(struct plug_router *router, const struct plug_view *view,
@@ -208,6 +223,8 @@
 	    !plug_packet_take_hop(packet, len))
 		drop(verdict, PLUG_ROUTE_NO_HOPS);
 	router->counters[verdict->reason]++;
+	if (verdict->kind == PLUG_VERDICT_DROP)
+		log_drop(router, verdict);
 	if (verdict->reason == PLUG_ROUTE_OWNER ||
 	    verdict->kind == PLUG_VERDICT_DROP)
 		return;
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -187,6 +187,31 @@
 }
 END_TEST
 
+static unsigned int drop_lines;
+
+static void
+count_line(void *data, enum plug_log_level level, struct plug_str line)
+{
+	(void)data;
+	(void)level;
+	drop_lines +=
+	    line.len > 0 && strstr(line.data, "packet_dropped") != NULL;
+}
+
+/* Guards against a log that a sender of garbage can fill. */
+START_TEST(drops_are_logged_at_a_bounded_rate)
+{
+	client.log = count_line;
+	drop_lines = 0;
+	for (int i = 0; i < 1000; i++) {
+		packet_len = 3;
+		ck_assert_int_eq(decide().reason, PLUG_ROUTE_BAD_PACKET);
+	}
+	ck_assert_uint_eq(router.counters[PLUG_ROUTE_BAD_PACKET], 1000);
+	ck_assert_uint_eq(drop_lines, 10);
+}
+END_TEST
+
 Suite *
 router_suite(void)
 {
@@ -200,6 +225,7 @@
 	tcase_add_test(test, resends_reach_ranked_candidate);
 	tcase_add_test(test, token_of_another_service_is_refused);
 	tcase_add_test(test, nothing_passes_without_a_view);
+	tcase_add_test(test, drops_are_logged_at_a_bounded_rate);
 	suite_add_tcase(suite, test);
 	return suite;
 }
