Let the rate of rebalancing grow with the overload

Cause: an overloaded agent gave away 2% of its flows a second, rounded down to one.

Ruled out: the choice of targets (they alternate among the lighter hosts) and moves that are refused (each period moved one flow).

Change: an agent gives away an eighth of the flows above the mean in each period when that is more than 2%. The bound that levels the two agents stays.

--- a/libplantainlug/agent_move.c
+++ b/libplantainlug/agent_move.c
@@ -19,6 +19,9 @@
 #define OVERLOAD_TIME	 (5 * PLUG_SEC)
 #define REBALANCE_PERIOD PLUG_SEC
 #define REBALANCE_SHARE	 50 /* one in so many flows for each period: 2% */
+/* One in so many of the flows above the mean for each period: a host that
+ * starts with twice the mean is within 1.25 of it after 15 s. */
+#define REBALANCE_EXCESS 8
 
 static void
 log_move(
@@ -372,14 +375,20 @@
 	       *load > OVERLOAD_FACTOR * *mean;
 }
 
-/* Flows to move in this period: 2%, and no more than levels the load of the two
- * agents, so that a flow isn't moved back and forth. */
+/* Flows to move in this period: 2%, or more when the load is far above the
+ * mean, and no more than levels the load of the two agents, so that a flow
+ * isn't moved back and forth. */
 static unsigned int
-rebalance_count(const struct plug_agent *agent, double load, double target)
+rebalance_count(
+    const struct plug_agent *agent, double load, double mean, double target)
 {
 	unsigned int count = agent->flows.open / REBALANCE_SHARE;
+	unsigned int excess = (unsigned int)(agent->flows.open * (load - mean) /
+					     load / REBALANCE_EXCESS);
 	double level = (load - target) * agent->limiter.slots / 2;
 
+	if (count < excess)
+		count = excess;
 	if (count == 0)
 		count = 1;
 	if (count > PLUG_BATCH_FLOWS)
@@ -401,8 +410,8 @@
 	    agent->service, agent->config.domain, load);
 	if (sibling == NULL)
 		return;
-	wanted =
-	    rebalance_count(agent, load, plug_placement_warm_load(sibling));
+	wanted = rebalance_count(
+	    agent, load, mean, plug_placement_warm_load(sibling));
 	while (count < wanted &&
 	       (flow = plug_flowtable_next(&agent->flows, flow)) != NULL) {
 		if (flow->state == PLUG_FLOW_OPEN && flow->active == 0)
