--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,9 @@
 CPPFLAGS = -I. $(PKG_CFLAGS)
 LDLIBS = $(PKG_LIBS) -lm -pthread
 
-LIB_SOURCES = $(wildcard libplantainlug/*.c) proto/control.pb-c.c
-DRIVER_SOURCES = $(wildcard net/*.c standins/*.c)
+LIB_SOURCES = $(wildcard libplantainlug/*.c libplantainlug/track/*.c) \
+	proto/control.pb-c.c proto/track.pb-c.c
+DRIVER_SOURCES = $(wildcard net/*.c standins/*.c platform/*.c)
 CLI_SOURCES = $(wildcard cli/*.c)
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
 BENCH_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
@@ -30,7 +31,7 @@
 SCENARIO_SOURCES = $(wildcard tests/scenario/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
 FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c
-HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] net/*.[ch] cli/*.[ch] \
+HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] libplantainlug/track/*.[ch] platform/*.[ch] net/*.[ch] cli/*.[ch] \
 	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] tests/scenario/*.[ch] \
 	tests/replay/*.[ch] \
 	bench/*.[ch])
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -7,6 +7,8 @@
 /* Each subcommand gets its own name as argv[0] and returns an exit code. */
 int plug_cli_entry(int argc, char **argv);
 int plug_cli_agent(int argc, char **argv);
+int plug_cli_tracking_entry(int argc, char **argv);
+int plug_cli_tracking_agent(int argc, char **argv);
 int plug_cli_status(int argc, char **argv);
 int plug_cli_check(int argc, char **argv);
 int plug_cli_standin_fabric(int argc, char **argv);
--- a/cli/main.c
+++ b/cli/main.c
@@ -12,6 +12,10 @@
 } commands[] = {
 	{ "entry", plug_cli_entry, "run an entry" },
 	{ "agent", plug_cli_agent, "run an agent" },
+	{ "tracking-entry", plug_cli_tracking_entry,
+	    "run an entry that tracks flows" },
+	{ "tracking-agent", plug_cli_tracking_agent,
+	    "run an agent that tracks flows" },
 	{ "status", plug_cli_status, "print the state of an entry or agent" },
 	{ "check", plug_cli_check, "check a document or a settings file" },
 	{ "explain", plug_cli_explain,
--- /dev/null
+++ b/libplantainlug/track/action.h
@@ -0,0 +1,66 @@
+#ifndef PLUG_TRACK_ACTION_H
+#define PLUG_TRACK_ACTION_H
+
+#include "../../proto/track.pb-c.h"
+#include "segment.h"
+
+/* What a decision of the tracking mode asks its driver to do. */
+enum plug_track_action_kind {
+	PLUG_TRACK_TO_AGENT,  /* send a segment to the agent on a machine */
+	PLUG_TRACK_TO_HOST,   /* send a segment to the host beside the agent */
+	PLUG_TRACK_TO_CLIENT, /* send a segment of the host to its client */
+	PLUG_TRACK_RESET,     /* tell a client that its flow has ended */
+	PLUG_TRACK_NOTICE,    /* send a notice to a node */
+	PLUG_TRACK_REFRESH,   /* read the host list anew, exactly */
+};
+
+/**
+ * struct plug_track_action - one action; what it points to is borrowed
+ * @kind: selects the members that are in use
+ * @node: address of the receiving machine, for TO_AGENT and NOTICE
+ * @segment: bytes to send; a BOUNCED mark is taken off for TO_AGENT and TO_HOST
+ * @tuple: flow, for TO_CLIENT and RESET
+ * @seq: sequence number of the reset
+ * @notice: notice to send
+ */
+struct plug_track_action {
+	enum plug_track_action_kind kind;
+	uint32_t node;
+	struct plug_str segment;
+	struct plug_tuple tuple;
+	uint32_t seq;
+	const Plug__TrackNotice *notice;
+};
+
+/**
+ * struct plug_track_driver - handlers of a tracking entry or agent
+ * @emit: receives each action, in order
+ * @decode: decodes the header of a segment that came in a notice
+ * @data: first argument of both
+ * @client: log handler and random state
+ */
+struct plug_track_driver {
+	void (*emit)(void *data, const struct plug_track_action *action);
+	bool (*decode)(
+	    void *data, struct plug_str bytes, struct plug_segment *segment);
+	void *data;
+	struct plug_client client;
+};
+
+void plug_track_emit(const struct plug_track_driver *driver,
+    const struct plug_track_action *action);
+void plug_track_notify(const struct plug_track_driver *driver, uint32_t node,
+    const Plug__TrackNotice *notice);
+void plug_track_reset(const struct plug_track_driver *driver,
+    const struct plug_tuple *tuple, uint32_t seq);
+void plug_track_segment(const struct plug_track_driver *driver,
+    enum plug_track_action_kind kind, uint32_t node,
+    const struct plug_segment *segment);
+bool plug_track_decode(const struct plug_track_driver *driver,
+    const ProtobufCBinaryData *field, struct plug_segment *segment);
+void plug_tuple_write(const struct plug_tuple *tuple, Plug__Tuple *wire);
+bool plug_tuple_read(const Plug__Tuple *wire, struct plug_tuple *tuple);
+const char *plug_refusal_name(Plug__RefusalReason reason);
+ProtobufCBinaryData plug_track_bytes(struct plug_str segment);
+
+#endif
--- /dev/null
+++ b/libplantainlug/track/agent.c
@@ -0,0 +1,762 @@
+#include <stdlib.h>
+
+#include "agent.h"
+
+#define FLOWS_MAX 50000 /* flows of one host, above its connection limit */
+
+/* The client and its host finish a closed flow within a few retransmissions.
+ * Entries keep it for 5 s; the agent a little longer, so that no late segment
+ * is taken for one of an unknown flow. */
+#define CLOSED_TIME (6 * PLUG_SEC)
+
+/* A client sends its request as soon as the handshake is over. A flow whose
+ * request hasn't come by then is idle, or another host has it. */
+#define OPENING_TIME (500 * PLUG_MSEC)
+
+/* A host returns a segment of an unknown flow at once; what it hasn't returned
+ * by then, it holds or has dropped. */
+#define PROBE_TIME (2 * PLUG_SEC)
+
+#define IDLE_DEFAULT (15 * PLUG_SEC) /* until the configuration is known */
+#define IDLE_SLACK   (10 * PLUG_SEC) /* entries forget first */
+
+/* An entry that has sent nothing for this long gets no reports. */
+#define REPORT_ACTIVE (2 * PLUG_SEC)
+
+#define REPORT_SOON (20 * PLUG_MSEC)  /* after a new flow */
+#define REPORT_TIME (250 * PLUG_MSEC) /* else, while flows are open */
+#define GATE_TICK   (10 * PLUG_MSEC)  /* while new flows wait */
+#define SWEEP_TIME  (500 * PLUG_MSEC)
+
+/**
+ * plug_track_agent_init() - prepare an agent that knows nothing of its host
+ * @agent: agent to fill
+ * @driver: handlers; kept by the caller
+ * @now: time
+ *
+ * Return: PLUG_OK or PLUG_E_MEMORY.
+ */
+enum plug_code
+plug_track_agent_init(struct plug_track_agent *agent,
+    struct plug_track_driver *driver, plug_time now)
+{
+	*agent = (struct plug_track_agent){
+		.driver = driver,
+		.since = now,
+		.idle_timeout = IDLE_DEFAULT,
+	};
+	plug_gate_init(&agent->gate, now);
+	return plug_conntable_init(
+	    &agent->flows, sizeof(struct plug_held_flow), FLOWS_MAX);
+}
+
+/**
+ * plug_track_agent_finish() - free all flows
+ * @agent: agent
+ */
+void
+plug_track_agent_finish(struct plug_track_agent *agent)
+{
+	plug_conntable_finish(&agent->flows);
+	plug_gate_finish(&agent->gate);
+}
+
+static bool
+is_closed(const struct plug_held_flow *flow)
+{
+	return flow->client_fin && flow->host_fin;
+}
+
+static bool
+is_opening(const struct plug_held_flow *flow)
+{
+	return flow->state == PLUG_HELD_OPENING && !flow->working;
+}
+
+/* Adds or takes a flow's part of the agent's sums; to be called around each
+ * change of its state. */
+static void
+count_flow(
+    struct plug_track_agent *agent, const struct plug_held_flow *flow, int sign)
+{
+	if (flow->state == PLUG_HELD_PROBED || is_closed(flow))
+		return;
+	agent->open += (uint32_t)sign;
+	if (flow->working)
+		agent->running += (uint32_t)sign;
+	if (is_opening(flow))
+		agent->opening += (uint32_t)sign;
+}
+
+static void
+remove_flow(struct plug_track_agent *agent, struct plug_held_flow *flow)
+{
+	count_flow(agent, flow, -1);
+	plug_conntable_remove(&agent->flows, &flow->conn);
+}
+
+static struct plug_held_flow *
+add_flow(struct plug_track_agent *agent, plug_time now,
+    const struct plug_tuple *tuple, enum plug_held_state state, uint32_t entry)
+{
+	struct plug_held_flow *flow;
+
+	if (plug_conntable_full(&agent->flows))
+		remove_flow(
+		    agent, (struct plug_held_flow *)agent->flows.oldest);
+	flow = plug_conntable_add(&agent->flows, tuple, now);
+	if (flow == NULL)
+		return NULL;
+	flow->state = state;
+	flow->entry = entry;
+	count_flow(agent, flow, 1);
+	return flow;
+}
+
+/* Whether a flow that isn't in the table can't be at the host. */
+static bool
+is_sure(const struct plug_track_agent *agent, plug_time now)
+{
+	return agent->state == PLUG_HOST_DOWN || agent->whole ||
+	       now - agent->since > agent->idle_timeout + IDLE_SLACK;
+}
+
+static void
+log_flow(const struct plug_track_agent *agent, enum plug_log_level level,
+    const char *event, const struct plug_tuple *tuple, const char *reason)
+{
+	char text[PLUG_TUPLE_TEXT];
+
+	(void)plug_tuple_format(tuple, text, sizeof(text));
+	plug_client_log(&agent->driver->client, level,
+	    "event=%s flow=%s reason=%s host=%016llx flows=%u running=%u "
+	    "opening=%u waiting=%u",
+	    event, text, reason, (unsigned long long)agent->host, agent->open,
+	    agent->running, agent->opening, agent->gate.waiting);
+}
+
+static struct plug_reported *
+find_reported(struct plug_track_agent *agent, plug_time now, uint32_t entry)
+{
+	struct plug_reported *oldest = &agent->reported[0];
+
+	for (unsigned int i = 0; i < PLUG_REPORTED_MAX; i++) {
+		struct plug_reported *reported = &agent->reported[i];
+
+		if (reported->address == entry)
+			return reported;
+		if (reported->active < oldest->active)
+			oldest = reported;
+	}
+	*oldest = (struct plug_reported){ .address = entry };
+	oldest->active = now;
+	return oldest;
+}
+
+static void
+report_to_all(struct plug_track_agent *agent)
+{
+	for (unsigned int i = 0; i < PLUG_REPORTED_MAX; i++) {
+		agent->reported[i].due = agent->reported[i].address != 0;
+		agent->reported[i].sent = 0;
+	}
+}
+
+static void
+send_refused(struct plug_track_agent *agent, uint32_t entry, uint64_t host,
+    const struct plug_segment *segment, Plug__RefusalReason reason)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Refused refused = PLUG__REFUSED__INIT;
+
+	refused.host = host;
+	refused.reason = reason;
+	refused.segment = plug_track_bytes(segment->bytes);
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_REFUSED;
+	notice.refused = &refused;
+	agent->counters[PLUG_AGENT_REFUSED]++;
+	log_flow(agent, PLUG_LOG_INFO, "open_refused", &segment->tuple,
+	    plug_refusal_name(reason));
+	plug_track_notify(agent->driver, entry, &notice);
+}
+
+static void
+send_located(struct plug_track_agent *agent, uint32_t entry,
+    const struct plug_tuple *tuple, Plug__Holding holding,
+    const struct plug_segment *segment)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Located located = PLUG__LOCATED__INIT;
+	Plug__Tuple wire = PLUG__TUPLE__INIT;
+
+	plug_tuple_write(tuple, &wire);
+	located.tuple = &wire;
+	located.holding = holding;
+	if (segment != NULL)
+		located.segment = plug_track_bytes(segment->bytes);
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOCATED;
+	notice.located = &located;
+	plug_track_notify(agent->driver, entry, &notice);
+}
+
+static void
+send_lost(struct plug_track_agent *agent, const struct plug_held_flow *flow)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Lost lost = PLUG__LOST__INIT;
+	Plug__Tuple tuple = PLUG__TUPLE__INIT;
+
+	if (flow->entry == 0)
+		return;
+	plug_tuple_write(&flow->conn.tuple, &tuple);
+	lost.tuple = &tuple;
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOST;
+	notice.lost = &lost;
+	plug_track_notify(agent->driver, flow->entry, &notice);
+}
+
+/* The host no longer has a flow that it had: the client is told at once. */
+static void
+lose_flow(struct plug_track_agent *agent, struct plug_held_flow *flow,
+    const char *reason)
+{
+	switch (flow->state) {
+	case PLUG_HELD_OPEN:
+		if (is_closed(flow))
+			break;
+		agent->counters[PLUG_AGENT_RESETS]++;
+		log_flow(agent, PLUG_LOG_INFO, "flow_reset", &flow->conn.tuple,
+		    reason);
+		plug_track_reset(agent->driver, &flow->conn.tuple, flow->ack);
+		send_lost(agent, flow);
+		break;
+	case PLUG_HELD_OPENING:
+		send_lost(agent, flow);
+		break;
+	case PLUG_HELD_PROBED:
+		send_located(agent, flow->entry, &flow->conn.tuple,
+		    PLUG__HOLDING__NO, NULL);
+		break;
+	}
+	remove_flow(agent, flow);
+}
+
+static void
+lose_all(struct plug_track_agent *agent, const char *reason)
+{
+	while (agent->flows.oldest != NULL)
+		lose_flow(agent, (struct plug_held_flow *)agent->flows.oldest,
+		    reason);
+}
+
+static void
+open_flow(struct plug_track_agent *agent, plug_time now, uint32_t entry,
+    const struct plug_segment *segment)
+{
+	if (add_flow(agent, now, &segment->tuple, PLUG_HELD_OPENING, entry) ==
+	    NULL)
+		return;
+	agent->counters[PLUG_AGENT_ADMITTED]++;
+	log_flow(
+	    agent, PLUG_LOG_DEBUG, "open_admitted", &segment->tuple, "room");
+	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+}
+
+/* Why a new flow for a host can't be admitted now or later; UNSPECIFIED when
+ * it may be. */
+static Plug__RefusalReason
+refusal(const struct plug_track_agent *agent, uint64_t host)
+{
+	switch (agent->state) {
+	case PLUG_HOST_UNKNOWN:
+		break;
+	case PLUG_HOST_DOWN:
+		return PLUG__REFUSAL_REASON__OTHER_HOST;
+	case PLUG_HOST_UP:
+		if (host != agent->host)
+			return PLUG__REFUSAL_REASON__OTHER_HOST;
+		break;
+	}
+	return agent->draining ? PLUG__REFUSAL_REASON__DRAINING
+			       : PLUG__REFUSAL_REASON__UNSPECIFIED;
+}
+
+static void
+refuse_waiter(struct plug_track_agent *agent, Plug__RefusalReason reason)
+{
+	struct plug_gate_waiter *waiter = plug_gate_take(&agent->gate);
+	const struct plug_segment segment = {
+		.tuple = waiter->tuple,
+		.bytes = { (const char *)waiter->bytes, waiter->len },
+	};
+
+	send_refused(agent, waiter->entry, waiter->host, &segment, reason);
+	free(waiter);
+}
+
+static void
+admit_waiters(struct plug_track_agent *agent, plug_time now)
+{
+	while (agent->gate.first != NULL) {
+		Plug__RefusalReason reason =
+		    refusal(agent, agent->gate.first->host);
+		struct plug_gate_waiter *waiter;
+		struct plug_segment segment;
+
+		if (reason == PLUG__REFUSAL_REASON__UNSPECIFIED &&
+		    plug_gate_expired(&agent->gate, now))
+			reason = PLUG__REFUSAL_REASON__WAITED;
+		if (reason != PLUG__REFUSAL_REASON__UNSPECIFIED) {
+			refuse_waiter(agent, reason);
+			continue;
+		}
+		if (agent->state != PLUG_HOST_UP ||
+		    !plug_gate_admit(
+			&agent->gate, now, agent->running + agent->opening))
+			return;
+		waiter = plug_gate_take(&agent->gate);
+		segment = (struct plug_segment){
+			.tuple = waiter->tuple,
+			.bytes = { (const char *)waiter->bytes, waiter->len },
+		};
+		open_flow(agent, now, waiter->entry, &segment);
+		free(waiter);
+	}
+}
+
+/**
+ * plug_track_agent_host() - what is known of the host has changed
+ * @agent: agent
+ * @now: time
+ * @state: whether it runs
+ * @host: hash of its instance id, for PLUG_HOST_UP
+ * @draining: its health check says that it is leaving
+ */
+void
+plug_track_agent_host(struct plug_track_agent *agent, plug_time now,
+    enum plug_host_state state, uint64_t host, bool draining)
+{
+	bool restarted = agent->state == PLUG_HOST_DOWN ||
+			 (agent->host != 0 && agent->host != host);
+
+	switch (state) {
+	case PLUG_HOST_UNKNOWN:
+		break;
+	case PLUG_HOST_DOWN:
+		if (agent->state != PLUG_HOST_DOWN)
+			lose_all(agent, "host_down");
+		break;
+	case PLUG_HOST_UP:
+		if (restarted) {
+			lose_all(agent, "host_replaced");
+			agent->whole = true;
+		}
+		agent->host = host;
+		agent->draining = draining;
+		break;
+	}
+	agent->state = state;
+	report_to_all(agent);
+	admit_waiters(agent, now);
+}
+
+static void
+client_sent(struct plug_track_agent *agent, plug_time now,
+    struct plug_held_flow *flow, const struct plug_segment *segment)
+{
+	count_flow(agent, flow, -1);
+	if ((segment->flags & PLUG_SEGMENT_FIN) != 0)
+		flow->client_fin = true;
+	if ((segment->flags & PLUG_SEGMENT_ACK) != 0)
+		flow->ack = segment->ack;
+	if (segment->len > 0 && !flow->client_fin)
+		flow->working = true;
+	count_flow(agent, flow, 1);
+	plug_conntable_touch(&agent->flows, &flow->conn, now);
+	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+	if ((segment->flags & PLUG_SEGMENT_RST) != 0)
+		remove_flow(agent, flow);
+}
+
+static void
+probe(struct plug_track_agent *agent, plug_time now, uint32_t entry,
+    const struct plug_segment *segment)
+{
+	struct plug_held_flow *flow =
+	    add_flow(agent, now, &segment->tuple, PLUG_HELD_PROBED, entry);
+
+	if (flow == NULL)
+		return;
+	flow->ack = segment->ack;
+	agent->counters[PLUG_AGENT_PROBES]++;
+	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+}
+
+/**
+ * plug_track_agent_forwarded() - an entry has sent a client's segment
+ * @agent: agent
+ * @now: time
+ * @from: address of the entry's machine
+ * @segment: segment of a flow that this agent's host shall have
+ */
+void
+plug_track_agent_forwarded(struct plug_track_agent *agent, plug_time now,
+    uint32_t from, const struct plug_segment *segment)
+{
+	struct plug_held_flow *flow;
+
+	agent->counters[PLUG_AGENT_FORWARDED]++;
+	find_reported(agent, now, from)->active = now;
+	flow = plug_conntable_find(&agent->flows, &segment->tuple);
+	if (flow != NULL) {
+		flow->entry = from;
+		client_sent(agent, now, flow, segment);
+		return;
+	}
+	if ((segment->flags & PLUG_SEGMENT_RST) != 0 ||
+	    plug_segment_opens(segment))
+		return;
+	if (is_sure(agent, now))
+		send_located(
+		    agent, from, &segment->tuple, PLUG__HOLDING__NO, segment);
+	else
+		probe(agent, now, from, segment);
+}
+
+static void
+handle_bounced(
+    struct plug_track_agent *agent, const struct plug_segment *segment)
+{
+	struct plug_held_flow *flow =
+	    plug_conntable_find(&agent->flows, &segment->tuple);
+	struct plug_segment original = *segment;
+	uint32_t entry;
+
+	agent->counters[PLUG_AGENT_BOUNCED]++;
+	original.flags &= ~PLUG_SEGMENT_BOUNCED;
+	if (flow == NULL)
+		return;
+	if (flow->state == PLUG_HELD_OPEN) {
+		lose_flow(agent, flow, "host_returned_it");
+		return;
+	}
+	entry = flow->entry;
+	remove_flow(agent, flow);
+	if (plug_segment_opens(&original))
+		send_refused(agent, entry, agent->host, &original,
+		    PLUG__REFUSAL_REASON__BOUNCED);
+	else
+		send_located(agent, entry, &original.tuple, PLUG__HOLDING__NO,
+		    &original);
+}
+
+static void
+host_sent(struct plug_track_agent *agent, plug_time now,
+    struct plug_held_flow *flow, const struct plug_segment *segment)
+{
+	bool probed = flow->state == PLUG_HELD_PROBED;
+
+	count_flow(agent, flow, -1);
+	if ((segment->flags & PLUG_SEGMENT_SYN) != 0) {
+		flow->answered = true;
+		flow->host_seq = segment->seq;
+	} else {
+		flow->state = PLUG_HELD_OPEN;
+	}
+	if (segment->len > 0)
+		flow->working = false;
+	if ((segment->flags & PLUG_SEGMENT_FIN) != 0) {
+		flow->host_fin = true;
+		flow->working = false;
+	}
+	count_flow(agent, flow, 1);
+	plug_conntable_touch(&agent->flows, &flow->conn, now);
+	if (probed && flow->state == PLUG_HELD_OPEN)
+		send_located(agent, flow->entry, &segment->tuple,
+		    PLUG__HOLDING__YES, NULL);
+	if ((segment->flags & PLUG_SEGMENT_RST) != 0)
+		remove_flow(agent, flow);
+}
+
+/**
+ * plug_track_agent_returned() - the host has sent a segment
+ * @agent: agent
+ * @now: time
+ * @segment: segment for a client, or one that the host returns
+ */
+void
+plug_track_agent_returned(struct plug_track_agent *agent, plug_time now,
+    const struct plug_segment *segment)
+{
+	struct plug_held_flow *flow;
+
+	agent->counters[PLUG_AGENT_RETURNED]++;
+	if ((segment->flags & PLUG_SEGMENT_BOUNCED) != 0) {
+		handle_bounced(agent, segment);
+		admit_waiters(agent, now);
+		return;
+	}
+	plug_track_segment(agent->driver, PLUG_TRACK_TO_CLIENT, 0, segment);
+	flow = plug_conntable_find(&agent->flows, &segment->tuple);
+	if (flow == NULL &&
+	    (segment->flags & (PLUG_SEGMENT_RST | PLUG_SEGMENT_FIN)) == 0)
+		flow =
+		    add_flow(agent, now, &segment->tuple, PLUG_HELD_OPENING, 0);
+	if (flow == NULL)
+		return;
+	host_sent(agent, now, flow, segment);
+	admit_waiters(agent, now);
+}
+
+static void
+handle_open(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Open *open)
+{
+	struct plug_reported *reported = find_reported(agent, now, from);
+	struct plug_held_flow *flow;
+	struct plug_segment segment;
+	Plug__RefusalReason reason;
+
+	if (!plug_track_decode(agent->driver, &open->segment, &segment) ||
+	    !plug_segment_opens(&segment)) {
+		agent->counters[PLUG_AGENT_BAD]++;
+		return;
+	}
+	reported->active = now;
+	reported->due = true;
+	flow = plug_conntable_find(&agent->flows, &segment.tuple);
+	if (flow != NULL && flow->state != PLUG_HELD_PROBED) {
+		flow->entry = from;
+		plug_track_segment(
+		    agent->driver, PLUG_TRACK_TO_HOST, 0, &segment);
+		return;
+	}
+	if (flow != NULL)
+		remove_flow(agent, flow);
+	reason = refusal(agent, open->host);
+	if (reason != PLUG__REFUSAL_REASON__UNSPECIFIED) {
+		send_refused(agent, from, open->host, &segment, reason);
+		return;
+	}
+	plug_gate_configure(&agent->gate, now, open->slots,
+	    open->cold_milli_per_s / 1000.0,
+	    open->cold_ms > 0 ? now + open->cold_ms * PLUG_MSEC : 0);
+	if (agent->state == PLUG_HOST_UP && agent->gate.first == NULL &&
+	    plug_gate_admit(
+		&agent->gate, now, agent->running + agent->opening)) {
+		open_flow(agent, now, from, &segment);
+		return;
+	}
+	agent->counters[PLUG_AGENT_QUEUED]++;
+	if (!plug_gate_wait(&agent->gate, now, from, open->host, &segment))
+		send_refused(agent, from, open->host, &segment,
+		    PLUG__REFUSAL_REASON__BUSY);
+}
+
+/* Two hosts may have answered the same SYN. The client acknowledges the
+ * sequence number of one of them; data makes no more difference than this. */
+#define HANDSHAKE_WINDOW 76800U
+
+static Plug__Holding
+holding(const struct plug_track_agent *agent, plug_time now,
+    const struct plug_held_flow *flow, uint32_t ack)
+{
+	if (agent->state == PLUG_HOST_DOWN)
+		return PLUG__HOLDING__NO;
+	if (flow == NULL)
+		return is_sure(agent, now) ? PLUG__HOLDING__NO
+					   : PLUG__HOLDING__UNSURE;
+	switch (flow->state) {
+	case PLUG_HELD_OPEN:
+		return PLUG__HOLDING__YES;
+	case PLUG_HELD_OPENING:
+		if (flow->answered && ack - flow->host_seq <= HANDSHAKE_WINDOW)
+			return PLUG__HOLDING__YES;
+		return flow->answered ? PLUG__HOLDING__NO
+				      : PLUG__HOLDING__UNSURE;
+	case PLUG_HELD_PROBED:
+		break;
+	}
+	return PLUG__HOLDING__UNSURE;
+}
+
+static void
+handle_locate(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Locate *locate)
+{
+	struct plug_held_flow *flow;
+	struct plug_segment segment;
+	struct plug_tuple tuple;
+	Plug__Holding answer;
+
+	if (!plug_tuple_read(locate->tuple, &tuple)) {
+		agent->counters[PLUG_AGENT_BAD]++;
+		return;
+	}
+	flow = plug_conntable_find(&agent->flows, &tuple);
+	answer = holding(agent, now, flow, locate->ack);
+	if (answer == PLUG__HOLDING__YES)
+		flow->entry = from;
+	if (answer != PLUG__HOLDING__UNSURE || locate->segment.len == 0) {
+		send_located(agent, from, &tuple, answer, NULL);
+		return;
+	}
+	if (!plug_track_decode(agent->driver, &locate->segment, &segment) ||
+	    !plug_tuple_equal(&segment.tuple, &tuple)) {
+		agent->counters[PLUG_AGENT_BAD]++;
+		return;
+	}
+	if (flow == NULL) {
+		probe(agent, now, from, &segment);
+		return;
+	}
+	flow->entry = from;
+	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, &segment);
+}
+
+/**
+ * plug_track_agent_notice() - an entry has sent a notice
+ * @agent: agent
+ * @now: time
+ * @from: address of the entry's machine
+ * @notice: notice; one that agents don't expect is ignored
+ */
+void
+plug_track_agent_notice(struct plug_track_agent *agent, plug_time now,
+    uint32_t from, const Plug__TrackNotice *notice)
+{
+	switch (notice->body_case) {
+	case PLUG__TRACK_NOTICE__BODY_OPEN:
+		handle_open(agent, now, from, notice->open);
+		return;
+	case PLUG__TRACK_NOTICE__BODY_LOCATE:
+		handle_locate(agent, now, from, notice->locate);
+		return;
+	default:
+		agent->counters[PLUG_AGENT_BAD]++;
+		return;
+	}
+}
+
+static plug_time
+lifetime(
+    const struct plug_track_agent *agent, const struct plug_held_flow *flow)
+{
+	if (flow->state == PLUG_HELD_PROBED)
+		return PROBE_TIME;
+	if (is_closed(flow))
+		return CLOSED_TIME;
+	return agent->idle_timeout + IDLE_SLACK;
+}
+
+static void
+sweep(struct plug_track_agent *agent, plug_time now)
+{
+	struct plug_conn *conn = agent->flows.oldest;
+
+	while (conn != NULL && now - conn->touched > OPENING_TIME) {
+		struct plug_held_flow *flow = (struct plug_held_flow *)conn;
+
+		conn = conn->newer;
+		if (now - flow->conn.touched > lifetime(agent, flow)) {
+			remove_flow(agent, flow);
+		} else if (is_opening(flow) && flow->answered) {
+			/* An idle flow, or one that another host has. */
+			count_flow(agent, flow, -1);
+			flow->state = PLUG_HELD_PROBED;
+			count_flow(agent, flow, 1);
+		}
+	}
+}
+
+static void
+send_load(struct plug_track_agent *agent, uint32_t entry)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Load load = PLUG__LOAD__INIT;
+
+	load.host = agent->host;
+	load.flows = agent->open;
+	load.running = agent->running + agent->opening;
+	load.waiting = agent->gate.waiting;
+	load.accepting = agent->state != PLUG_HOST_DOWN && !agent->draining;
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOAD;
+	notice.load = &load;
+	plug_track_notify(agent->driver, entry, &notice);
+}
+
+/* Entries that send new flows hear of them soon, the others now and then.
+ * Return: time of the next report. */
+static plug_time
+report(struct plug_track_agent *agent, plug_time now)
+{
+	plug_time next = now + REPORT_TIME;
+
+	if (agent->host == 0)
+		return next;
+	for (unsigned int i = 0; i < PLUG_REPORTED_MAX; i++) {
+		struct plug_reported *reported = &agent->reported[i];
+		plug_time due = reported->sent +
+				(reported->due ? REPORT_SOON : REPORT_TIME);
+
+		if (reported->address == 0 ||
+		    (!reported->due && now - reported->active > REPORT_ACTIVE))
+			continue;
+		if (now >= due) {
+			send_load(agent, reported->address);
+			reported->sent = now;
+			reported->due = false;
+			due = now + REPORT_TIME;
+		}
+		if (due < next)
+			next = due;
+	}
+	return next;
+}
+
+/**
+ * plug_track_agent_tick() - admit, report and forget
+ * @agent: agent
+ * @now: time
+ *
+ * Return: time of the next call, at the latest.
+ */
+plug_time
+plug_track_agent_tick(struct plug_track_agent *agent, plug_time now)
+{
+	plug_time next;
+
+	admit_waiters(agent, now);
+	next = report(agent, now);
+	if (now >= agent->next_sweep) {
+		agent->next_sweep = now + SWEEP_TIME;
+		sweep(agent, now);
+	}
+	if (agent->next_sweep < next)
+		next = agent->next_sweep;
+	if (agent->gate.first != NULL && now + GATE_TICK < next)
+		next = now + GATE_TICK;
+	return next;
+}
+
+/**
+ * plug_track_agent_counter_name() - name of a counter in metrics
+ * @counter: counter
+ */
+const char *
+plug_track_agent_counter_name(enum plug_agent_counter counter)
+{
+	static const char *const names[PLUG_AGENT_COUNTERS] = {
+		[PLUG_AGENT_FORWARDED] = "forwarded",
+		[PLUG_AGENT_RETURNED] = "returned",
+		[PLUG_AGENT_BAD] = "bad",
+		[PLUG_AGENT_ADMITTED] = "admitted",
+		[PLUG_AGENT_QUEUED] = "queued",
+		[PLUG_AGENT_REFUSED] = "refused",
+		[PLUG_AGENT_BOUNCED] = "bounced",
+		[PLUG_AGENT_RESETS] = "resets",
+		[PLUG_AGENT_PROBES] = "probes",
+	};
+
+	return names[counter];
+}
--- /dev/null
+++ b/libplantainlug/track/agent.h
@@ -0,0 +1,123 @@
+#ifndef PLUG_TRACK_AGENT_H
+#define PLUG_TRACK_AGENT_H
+
+#include "action.h"
+#include "conntable.h"
+#include "gate.h"
+
+#define PLUG_REPORTED_MAX 64 /* entries that get reports */
+
+enum plug_host_state {
+	PLUG_HOST_UNKNOWN, /* not asked yet, or being asked again */
+	PLUG_HOST_UP,
+	PLUG_HOST_DOWN, /* it refuses connections */
+};
+
+enum plug_held_state {
+	PLUG_HELD_OPENING, /* its SYN was sent to the host */
+	PLUG_HELD_OPEN,	   /* the host has sent more than its SYN+ACK */
+	PLUG_HELD_PROBED,  /* the host was asked by a segment */
+};
+
+/**
+ * struct plug_held_flow - a flow of the agent's host
+ * @conn: head; the first member
+ * @state: see enum plug_held_state
+ * @entry: address of the entry that sent its last segment
+ * @answered: the host has sent its SYN+ACK
+ * @working: a request is at work
+ * @client_fin: the client has closed its side
+ * @host_fin: the host has closed its side
+ * @host_seq: sequence number of the host's SYN+ACK
+ * @ack: last acknowledgement of the client
+ */
+struct plug_held_flow {
+	struct plug_conn conn;
+	enum plug_held_state state;
+	uint32_t entry;
+	bool answered;
+	bool working;
+	bool client_fin;
+	bool host_fin;
+	uint32_t host_seq;
+	uint32_t ack;
+};
+
+/**
+ * struct plug_reported - an entry that gets reports
+ * @address: address of its machine; 0 while unused
+ * @active: time of its last notice or segment
+ * @sent: time of the last report to it
+ * @due: it shall get a report soon
+ */
+struct plug_reported {
+	uint32_t address;
+	plug_time active;
+	plug_time sent;
+	bool due;
+};
+
+enum plug_agent_counter {
+	PLUG_AGENT_FORWARDED, /* segments from entries */
+	PLUG_AGENT_RETURNED,  /* segments from the host */
+	PLUG_AGENT_BAD,	      /* that nobody may send */
+	PLUG_AGENT_ADMITTED,  /* new flows handed to the host */
+	PLUG_AGENT_QUEUED,    /* new flows that had to wait */
+	PLUG_AGENT_REFUSED,   /* new flows returned to their entry */
+	PLUG_AGENT_BOUNCED,   /* segments that the host has returned */
+	PLUG_AGENT_RESETS,    /* flows that have ended with their host */
+	PLUG_AGENT_PROBES,    /* segments by which the host was asked */
+	PLUG_AGENT_COUNTERS,
+};
+
+/**
+ * struct plug_track_agent - decisions of the agent beside one host
+ * @driver: handlers
+ * @state: whether the host runs
+ * @host: hash of its instance id; 0 if it was never learned
+ * @draining: the host is leaving
+ * @since: time from which on every flow of the host has passed the agent
+ * @whole: no host has run beside this agent without its knowledge
+ * @idle_timeout: idle flows may be forgotten after this time
+ * @flows: flows by tuple
+ * @open: flows that are open or opening
+ * @running: requests at work
+ * @opening: flows that wait for the host's SYN+ACK
+ * @gate: admission of new flows
+ * @reported: entries that get reports
+ * @next_sweep: time when old flows are looked for again
+ * @counters: by enum plug_agent_counter
+ */
+struct plug_track_agent {
+	struct plug_track_driver *driver;
+	enum plug_host_state state;
+	uint64_t host;
+	bool draining;
+	plug_time since;
+	bool whole;
+	plug_time idle_timeout;
+	struct plug_conntable flows;
+	uint32_t open;
+	uint32_t running;
+	uint32_t opening;
+	struct plug_gate gate;
+	struct plug_reported reported[PLUG_REPORTED_MAX];
+	plug_time next_sweep;
+	uint64_t counters[PLUG_AGENT_COUNTERS];
+};
+
+enum plug_code plug_track_agent_init(struct plug_track_agent *agent,
+    struct plug_track_driver *driver, plug_time now);
+void plug_track_agent_finish(struct plug_track_agent *agent);
+void plug_track_agent_host(struct plug_track_agent *agent, plug_time now,
+    enum plug_host_state state, uint64_t host, bool draining);
+void plug_track_agent_forwarded(struct plug_track_agent *agent, plug_time now,
+    uint32_t from, const struct plug_segment *segment);
+void plug_track_agent_returned(struct plug_track_agent *agent, plug_time now,
+    const struct plug_segment *segment);
+void plug_track_agent_notice(struct plug_track_agent *agent, plug_time now,
+    uint32_t from, const Plug__TrackNotice *notice);
+plug_time plug_track_agent_tick(struct plug_track_agent *agent, plug_time now);
+const char *plug_track_agent_counter_name(enum plug_agent_counter counter);
+
+#endif
--- /dev/null
+++ b/libplantainlug/track/balance.c
@@ -0,0 +1,253 @@
+#include <stdlib.h>
+
+#include "balance.h"
+
+/* An agent reports within 50 ms of a flow that is sent to it. Six such times
+ * without a report, it is taken for stopped. */
+#define SILENT_TIME (300 * PLUG_MSEC)
+
+/* A report older than this says nothing of requests at work. */
+#define REPORT_STALE (1500 * PLUG_MSEC)
+
+/* A cold host takes about 1.6 times as long for a request. */
+#define COLD_FACTOR 1.6
+
+/* Requests at work and waiting, per slot, above which the own domain counts as
+ * busy: each slot has one request and every second one waits. */
+#define BUSY_LOAD 1.5
+
+/* A host of another domain must be this much less loaded, per slot, to be worth
+ * the way there and back. */
+#define REMOTE_MARGIN 1.0
+
+/* A request at work weighs as much as this many open flows; idle flows are a
+ * forecast, requests at work are load now. */
+#define RUNNING_WEIGHT 2.0
+
+/**
+ * plug_balance_init() - prepare without a snapshot
+ * @balance: balance to fill
+ */
+void
+plug_balance_init(struct plug_balance *balance)
+{
+	*balance = (struct plug_balance){ 0 };
+}
+
+/**
+ * plug_balance_finish() - give up the snapshot
+ * @balance: balance
+ */
+void
+plug_balance_finish(struct plug_balance *balance)
+{
+	plug_fleet_release(balance->fleet);
+	free(balance->targets);
+	plug_balance_init(balance);
+}
+
+/**
+ * plug_balance_adopt() - act on a new snapshot
+ * @balance: balance; what it knows of hosts that stay is kept
+ * @fleet: snapshot; the caller's reference is taken over
+ *
+ * Return: false when memory ran out; the old snapshot then stays.
+ */
+bool
+plug_balance_adopt(struct plug_balance *balance, struct plug_fleet *fleet)
+{
+	struct plug_target *targets =
+	    calloc(fleet->host_count + 1, sizeof(*targets));
+
+	if (targets == NULL) {
+		plug_fleet_release(fleet);
+		return false;
+	}
+	for (unsigned int i = 0; i < fleet->host_count; i++) {
+		const struct plug_target *known =
+		    plug_balance_target(balance, fleet->hosts[i].id);
+
+		if (known != NULL)
+			targets[i] = *known;
+		else
+			targets[i].accepting = true;
+	}
+	plug_balance_finish(balance);
+	balance->fleet = fleet;
+	balance->targets = targets;
+	return true;
+}
+
+/**
+ * plug_balance_target() - what is known of one host
+ * @balance: balance
+ * @host: hash of its instance id
+ *
+ * Return: the target, or NULL for a host that is not listed.
+ */
+struct plug_target *
+plug_balance_target(const struct plug_balance *balance, uint64_t host)
+{
+	const struct plug_fleet_host *found =
+	    plug_fleet_host(balance->fleet, host);
+
+	if (found == NULL)
+		return NULL;
+	return &balance->targets[found - balance->fleet->hosts];
+}
+
+/**
+ * plug_balance_report() - an agent has told its load
+ * @balance: balance
+ * @now: time
+ * @load: report
+ */
+void
+plug_balance_report(
+    struct plug_balance *balance, plug_time now, const Plug__Load *load)
+{
+	struct plug_target *target = plug_balance_target(balance, load->host);
+
+	if (target == NULL)
+		return;
+	target->flows = load->flows;
+	target->running = load->running;
+	target->waiting = load->waiting;
+	target->accepting = load->accepting;
+	target->reported = now;
+	target->sent = 0;
+	target->asked = 0;
+}
+
+/**
+ * plug_target_silent() - whether an agent doesn't answer
+ * @target: target
+ * @now: time
+ */
+bool
+plug_target_silent(const struct plug_target *target, plug_time now)
+{
+	return target->asked != 0 && now - target->asked > SILENT_TIME;
+}
+
+static double
+work_per_slot(const struct plug_fleet_host *host,
+    const struct plug_target *target, plug_time now)
+{
+	double work = target->sent;
+
+	if (now - target->reported < REPORT_STALE)
+		work += target->running + target->waiting;
+	if (host->cold_until > now)
+		work = work * COLD_FACTOR + 1;
+	return work / host->slots;
+}
+
+static double
+score(const struct plug_fleet_host *host, const struct plug_target *target,
+    plug_time now)
+{
+	double flows = target->flows + target->sent;
+
+	return flows / host->slots +
+	       RUNNING_WEIGHT * work_per_slot(host, target, now);
+}
+
+static bool
+is_excluded(const struct plug_excluded *excluded, uint64_t host)
+{
+	for (unsigned int i = 0; i < excluded->count; i++) {
+		if (excluded->ids[i] == host)
+			return true;
+	}
+	return false;
+}
+
+static bool
+may_take(const struct plug_balance *balance, unsigned int index, plug_time now,
+    uint64_t service, const struct plug_excluded *excluded)
+{
+	const struct plug_fleet_host *host = &balance->fleet->hosts[index];
+	const struct plug_target *target = &balance->targets[index];
+
+	return host->service == service && !host->draining &&
+	       !plug_fleet_is_out(balance->fleet, host->domain) &&
+	       !is_excluded(excluded, host->id) && target->accepting &&
+	       now >= target->avoid_until && !plug_target_silent(target, now);
+}
+
+/**
+ * plug_balance_choose() - choose the host of a new flow
+ * @balance: balance
+ * @now: time
+ * @service: hash of the service's name
+ * @domain: hash of the own domain's name; its hosts are preferred, since what
+ *   crosses domains is slower and costs money
+ * @excluded: hosts to leave out
+ *
+ * Return: the host, or NULL when none can take a flow now.
+ */
+const struct plug_fleet_host *
+plug_balance_choose(const struct plug_balance *balance, plug_time now,
+    uint64_t service, uint32_t domain, const struct plug_excluded *excluded)
+{
+	const struct plug_fleet *fleet = balance->fleet;
+	const struct plug_fleet_host *best[2] = { NULL, NULL };
+	double score_of[2] = { 0, 0 };
+	double work[2] = { 0, 0 };
+
+	if (fleet == NULL)
+		return NULL;
+	for (unsigned int i = 0; i < fleet->host_count; i++) {
+		const struct plug_fleet_host *host = &fleet->hosts[i];
+		unsigned int remote = host->domain != domain;
+		double value;
+
+		if (!may_take(balance, i, now, service, excluded))
+			continue;
+		value = score(host, &balance->targets[i], now);
+		if (best[remote] != NULL && value >= score_of[remote])
+			continue;
+		best[remote] = host;
+		score_of[remote] = value;
+		work[remote] = work_per_slot(host, &balance->targets[i], now);
+	}
+	if (best[0] == NULL || best[1] == NULL)
+		return best[0] != NULL ? best[0] : best[1];
+	if (work[0] > BUSY_LOAD && work[1] + REMOTE_MARGIN < work[0])
+		return best[1];
+	return best[0];
+}
+
+/**
+ * plug_balance_sent() - count a flow that was sent to a host
+ * @balance: balance
+ * @now: time
+ * @host: host of the snapshot
+ */
+void
+plug_balance_sent(struct plug_balance *balance, plug_time now,
+    const struct plug_fleet_host *host)
+{
+	struct plug_target *target =
+	    &balance->targets[host - balance->fleet->hosts];
+
+	target->sent++;
+	if (target->asked == 0)
+		target->asked = now;
+}
+
+/**
+ * plug_balance_avoid() - leave a host out for a while
+ * @balance: balance
+ * @host: hash of its instance id
+ * @until: time when it may be chosen again
+ */
+void
+plug_balance_avoid(struct plug_balance *balance, uint64_t host, plug_time until)
+{
+	struct plug_target *target = plug_balance_target(balance, host);
+
+	if (target != NULL && until > target->avoid_until)
+		target->avoid_until = until;
+}
--- /dev/null
+++ b/libplantainlug/track/balance.h
@@ -0,0 +1,67 @@
+#ifndef PLUG_TRACK_BALANCE_H
+#define PLUG_TRACK_BALANCE_H
+
+#include "../../proto/track.pb-c.h"
+#include "fleet.h"
+
+#define PLUG_EXCLUDED_MAX 8 /* hosts that have refused one flow */
+
+/**
+ * struct plug_target - what an entry knows of one host's load
+ * @flows: open flows at its last report
+ * @running: requests at work
+ * @waiting: opening flows that wait at its agent
+ * @accepting: it takes new flows
+ * @reported: time of the report; 0 before the first one
+ * @sent: flows sent to it since the report
+ * @asked: time of the first flow sent since the report; 0 without one
+ * @avoid_until: it has refused a flow, and is left out until this time
+ */
+struct plug_target {
+	uint32_t flows;
+	uint32_t running;
+	uint32_t waiting;
+	bool accepting;
+	plug_time reported;
+	uint32_t sent;
+	plug_time asked;
+	plug_time avoid_until;
+};
+
+/**
+ * struct plug_excluded - hosts that a flow shall not be sent to again
+ * @count: length of @ids
+ * @ids: hashes of their instance ids
+ */
+struct plug_excluded {
+	unsigned int count;
+	uint64_t ids[PLUG_EXCLUDED_MAX];
+};
+
+/**
+ * struct plug_balance - load of the hosts of a snapshot
+ * @fleet: snapshot; one reference
+ * @targets: one for each host of @fleet, in its order
+ */
+struct plug_balance {
+	struct plug_fleet *fleet;
+	struct plug_target *targets;
+};
+
+void plug_balance_init(struct plug_balance *balance);
+void plug_balance_finish(struct plug_balance *balance);
+bool plug_balance_adopt(struct plug_balance *balance, struct plug_fleet *fleet);
+struct plug_target *
+plug_balance_target(const struct plug_balance *balance, uint64_t host);
+void plug_balance_report(
+    struct plug_balance *balance, plug_time now, const Plug__Load *load);
+bool plug_target_silent(const struct plug_target *target, plug_time now);
+const struct plug_fleet_host *
+plug_balance_choose(const struct plug_balance *balance, plug_time now,
+    uint64_t service, uint32_t domain, const struct plug_excluded *excluded);
+void plug_balance_sent(struct plug_balance *balance, plug_time now,
+    const struct plug_fleet_host *host);
+void plug_balance_avoid(
+    struct plug_balance *balance, uint64_t host, plug_time until);
+
+#endif
--- /dev/null
+++ b/libplantainlug/track/conntable.h
@@ -0,0 +1,56 @@
+#ifndef PLUG_TRACK_CONNTABLE_H
+#define PLUG_TRACK_CONNTABLE_H
+
+#include "../status.h"
+#include "segment.h"
+
+/**
+ * struct plug_conn - head of a record about one flow
+ * @tuple: flow
+ * @touched: time of the last plug_conntable_touch()
+ * @next: next record of the bucket
+ * @older: record that was touched before this one
+ * @newer: record that was touched after this one
+ */
+struct plug_conn {
+	struct plug_tuple tuple;
+	plug_time touched;
+	struct plug_conn *next;
+	struct plug_conn *older;
+	struct plug_conn *newer;
+};
+
+/**
+ * struct plug_conntable - records by flow, and in the order of their last use
+ * @record_size: bytes of a record; a struct plug_conn is its first member
+ * @count: records
+ * @limit: most records; the least recently used one makes room
+ * @bucket_count: length of @buckets, a power of two
+ * @buckets: chains
+ * @oldest: least recently touched record
+ * @newest: most recently touched record
+ */
+struct plug_conntable {
+	size_t record_size;
+	unsigned int count;
+	unsigned int limit;
+	unsigned int bucket_count;
+	struct plug_conn **buckets;
+	struct plug_conn *oldest;
+	struct plug_conn *newest;
+};
+
+enum plug_code plug_conntable_init(
+    struct plug_conntable *table, size_t record_size, unsigned int limit);
+void plug_conntable_finish(struct plug_conntable *table);
+void *plug_conntable_find(
+    const struct plug_conntable *table, const struct plug_tuple *tuple);
+void *plug_conntable_add(struct plug_conntable *table,
+    const struct plug_tuple *tuple, plug_time now);
+void plug_conntable_touch(
+    struct plug_conntable *table, struct plug_conn *conn, plug_time now);
+void
+plug_conntable_remove(struct plug_conntable *table, struct plug_conn *conn);
+bool plug_conntable_full(const struct plug_conntable *table);
+
+#endif
--- /dev/null
+++ b/libplantainlug/track/lookup.h
@@ -0,0 +1,77 @@
+#ifndef PLUG_TRACK_LOOKUP_H
+#define PLUG_TRACK_LOOKUP_H
+
+#include "entry.h"
+
+#define PLUG_LOOKUP_SAVED 4 /* segments kept until the host is found */
+
+/**
+ * struct plug_lookup_host - one host that is asked for a flow
+ * @id: hash of its instance id; 0 for an agent whose host isn't listed
+ * @agent: address of its machine
+ * @asked: questions sent
+ * @answered: the agent has answered
+ * @holding: last answer
+ * @probed: the host itself was asked, by a segment of the flow
+ */
+struct plug_lookup_host {
+	uint64_t id;
+	uint32_t agent;
+	unsigned int asked;
+	bool answered;
+	Plug__Holding holding;
+	bool probed;
+};
+
+enum plug_lookup_verdict {
+	PLUG_LOOKUP_PENDING,
+	PLUG_LOOKUP_FOUND,
+	PLUG_LOOKUP_ABSENT, /* every host has said that it has no such flow */
+	PLUG_LOOKUP_UNDECIDED, /* some did not answer in time */
+};
+
+/**
+ * struct plug_lookup - search for the host that holds a flow
+ * @next: next lookup of the entry
+ * @flow: flow; owned by the entry
+ * @started: time of the first question
+ * @asked: time of the last round of questions
+ * @wide: hosts outside the own domain are asked, too
+ * @refreshed: an exact host list was asked for
+ * @owed: the client waits for an answer, so that it is told when no host has
+ *   the flow; a mere acknowledgement may follow a flow that has just closed
+ * @ack: last acknowledgement of the client
+ * @count: length of @hosts
+ * @hosts: hosts that are asked
+ * @saved_count: segments kept
+ * @saved_len: their lengths
+ * @saved: their bytes
+ */
+struct plug_lookup {
+	struct plug_lookup *next;
+	struct plug_entry_flow *flow;
+	plug_time started;
+	plug_time asked;
+	bool wide;
+	bool refreshed;
+	bool owed;
+	uint32_t ack;
+	unsigned int count;
+	struct plug_lookup_host *hosts;
+	unsigned int saved_count;
+	size_t saved_len[PLUG_LOOKUP_SAVED];
+	uint8_t saved[PLUG_LOOKUP_SAVED][PLUG_SEGMENT_MAX];
+};
+
+struct plug_lookup *
+plug_lookup_create(struct plug_entry_flow *flow, plug_time now);
+void plug_lookup_destroy(struct plug_lookup *lookup);
+void plug_lookup_save(
+    struct plug_lookup *lookup, const struct plug_segment *segment);
+void plug_lookup_answer(
+    struct plug_lookup *lookup, uint32_t agent, Plug__Holding holding);
+enum plug_lookup_verdict plug_lookup_step(struct plug_lookup *lookup,
+    plug_time now, const struct plug_fleet *fleet, uint32_t domain,
+    const struct plug_track_driver *driver, uint32_t *agent);
+
+#endif
--- /dev/null
+++ b/libplantainlug/track/settings.c
@@ -0,0 +1,80 @@
+#include <stddef.h>
+#include <string.h>
+
+#include "../jsonread.h"
+#include "settings.h"
+
+#define FIELD(key, type, member)       \
+	.name = (key), .kind = (type), \
+	.offset = offsetof(struct plug_track_settings, member)
+
+/* Keys that an agent must have and an entry must not. */
+static enum plug_code
+check_role(struct plug_json *json, const struct plug_track_settings *settings)
+{
+	static const char *const keys[] = { "host", "host_output" };
+	bool agent = settings->role == PLUG_ROLE_AGENT;
+
+	for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		bool present =
+		    json_object_object_get_ex(json->root, keys[i], NULL);
+
+		if (agent && !present)
+			return plug_json_fail(json, PLUG_E_MISSING_KEY,
+			    "missing key \"%s\" of an agent", keys[i]);
+		if (!agent && present) {
+			json->path[json->depth++].key = keys[i];
+			return plug_json_fail(json, PLUG_E_UNKNOWN_KEY,
+			    "%s: only an agent has this key", keys[i]);
+		}
+	}
+	return PLUG_OK;
+}
+
+/**
+ * plug_track_settings_parse() - validate the settings of a tracking process
+ * @text: JSON with comments
+ * @settings: receives the settings; undefined after a failure
+ * @status: receives the reason, with the line where possible, or NULL
+ *
+ * Return: PLUG_OK, or the code of the first error.
+ */
+enum plug_code
+plug_track_settings_parse(struct plug_str text,
+    struct plug_track_settings *settings, struct plug_status *status)
+{
+	static const char *const roles[] = { "entry", "agent", NULL };
+	/* In the order of enum plug_log_level. */
+	static const char *const levels[] = { "error", "warn", "info", "debug",
+		NULL };
+	static const struct plug_json_field fields[] = {
+		{ FIELD("role", PLUG_JSON_CHOICE, role), .names = roles },
+		{ FIELD("name", PLUG_JSON_NAME, name) },
+		{ FIELD("domain", PLUG_JSON_NAME, domain) },
+		{ FIELD("segments", PLUG_JSON_ENDPOINT, segments) },
+		{ FIELD("ready", PLUG_JSON_ENDPOINT, ready) },
+		{ FIELD("store", PLUG_JSON_ENDPOINT, store) },
+		{ FIELD("notice_port", PLUG_JSON_UINT, notice_port), .min = 1,
+		    .max = UINT16_MAX },
+		{ FIELD("log_level", PLUG_JSON_CHOICE, log_level),
+		    .optional = true, .names = levels },
+		{ FIELD("host_output", PLUG_JSON_ENDPOINT, host_output),
+		    .optional = true },
+		{ FIELD("host", PLUG_JSON_ENDPOINT, host), .optional = true },
+		{ FIELD("service", PLUG_JSON_NAME, service), .optional = true },
+	};
+	struct plug_json json;
+	enum plug_code code;
+
+	memset(settings, 0, sizeof(*settings));
+	settings->log_level = PLUG_LOG_INFO;
+	code = plug_json_open(&json, text, PLUG_DOCUMENT_SIZE_MAX, status);
+	if (code != PLUG_OK)
+		return code;
+	code = plug_json_read_object(&json, json.root, fields,
+	    sizeof(fields) / sizeof(fields[0]), settings);
+	if (code == PLUG_OK)
+		code = check_role(&json, settings);
+	plug_json_close(&json);
+	return code;
+}
--- /dev/null
+++ b/libplantainlug/track/settings.h
@@ -0,0 +1,37 @@
+#ifndef PLUG_TRACK_SETTINGS_H
+#define PLUG_TRACK_SETTINGS_H
+
+#include "../settings.h"
+
+/**
+ * struct plug_track_settings - validated settings of a tracking process
+ * @role: entry or agent
+ * @name: instance name in logs
+ * @domain: name of the own failure domain
+ * @segments: UDP address for segments of flows
+ * @ready: TCP address of the readiness check and the metrics
+ * @store: the platform's store
+ * @notice_port: UDP port for notices, the same on all machines
+ * @log_level: least severe level that is written
+ * @host_output: UDP address where an agent takes its host's segments
+ * @host: address of an agent's host, UDP for segments and TCP for its health
+ * @service: service of an agent's host, for logs
+ */
+struct plug_track_settings {
+	enum plug_role role;
+	char name[PLUG_NAME_SIZE];
+	char domain[PLUG_NAME_SIZE];
+	struct plug_endpoint segments;
+	struct plug_endpoint ready;
+	struct plug_endpoint store;
+	uint32_t notice_port;
+	enum plug_log_level log_level;
+	struct plug_endpoint host_output;
+	struct plug_endpoint host;
+	char service[PLUG_NAME_SIZE];
+};
+
+enum plug_code plug_track_settings_parse(struct plug_str text,
+    struct plug_track_settings *settings, struct plug_status *status);
+
+#endif
--- /dev/null
+++ b/net/hostprobe.c
@@ -0,0 +1,189 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "hostprobe.h"
+
+/* The check keeps its connection open, as hosts close one that has been idle
+ * for 12 s, and tells of a host that begins to leave. It costs a moment of one
+ * of the host's slots. */
+#define CHECK_PERIOD PLUG_SEC
+
+#define DOWN_PERIOD    (100 * PLUG_MSEC) /* while nothing listens */
+#define ANSWER_MS      1000L /* a busy host answers behind its queue */
+#define UNANSWERED_MAX 3 /* checks without an answer that make a host down */
+#define STATUS_HEALTHY 200
+
+static void
+on_header(void *data, struct plug_str line)
+{
+	struct plug_hostprobe *probe = data;
+
+	probe->adapter->read_health(line, &probe->health);
+}
+
+static const char *
+state_name(enum plug_host_state state)
+{
+	switch (state) {
+	case PLUG_HOST_UNKNOWN:
+		return "unknown";
+	case PLUG_HOST_UP:
+		return "up";
+	case PLUG_HOST_DOWN:
+		break;
+	}
+	return "down";
+}
+
+static void
+change(struct plug_hostprobe *probe, const struct plug_host_report *report,
+    const char *reason)
+{
+	if (report->state == probe->last.state &&
+	    report->host == probe->last.host &&
+	    report->draining == probe->last.draining)
+		return;
+	plug_client_log(probe->client, PLUG_LOG_INFO,
+	    "event=host_%s host=%s before=%s draining=%d reason=\"%s\"",
+	    state_name(report->state),
+	    probe->health.name[0] != '\0' ? probe->health.name : "-",
+	    state_name(probe->last.state), report->draining, reason);
+	probe->last = *report;
+	probe->report(probe->data, report);
+}
+
+static void
+on_done(void *data, const struct plug_fetch_answer *answer)
+{
+	struct plug_hostprobe *probe = data;
+	struct plug_host_report report = probe->last;
+	plug_time now = plug_clock_now();
+	const char *reason = answer->reason;
+
+	probe->due = now + CHECK_PERIOD;
+	if (answer->status != 0 && probe->health.host != 0) {
+		probe->unanswered = 0;
+		report.state = PLUG_HOST_UP;
+		report.host = probe->health.host;
+		report.draining = answer->status != STATUS_HEALTHY;
+		reason = "answer";
+	} else if (report.draining) {
+		/* A leaving host closes its port before its flows. */
+		reason = "leaving";
+	} else if (answer->refused) {
+		report.state = PLUG_HOST_DOWN;
+		probe->due = now + DOWN_PERIOD;
+	} else if (++probe->unanswered >= UNANSWERED_MAX) {
+		report.state = PLUG_HOST_DOWN;
+	} else {
+		probe->due = now + DOWN_PERIOD;
+	}
+	change(probe, &report, reason);
+}
+
+/**
+ * plug_hostprobe_init() - start checking the host
+ * @probe: probe to fill
+ * @adapter: how the host speaks
+ * @host: its address
+ * @fetch: GETs of the calling thread
+ * @client: log handler; kept by the caller
+ * @report: receives each change
+ * @data: first argument of @report
+ *
+ * Return: false when memory ran out.
+ */
+bool
+plug_hostprobe_init(struct plug_hostprobe *probe,
+    const struct plug_adapter *adapter, struct plug_endpoint host,
+    struct plug_fetch *fetch, const struct plug_client *client,
+    void (*report)(void *data, const struct plug_host_report *report),
+    void *data)
+{
+	const struct plug_fetch_handlers handlers = {
+		.header = on_header,
+		.done = on_done,
+		.data = probe,
+	};
+
+	*probe = (struct plug_hostprobe){
+		.adapter = adapter,
+		.host = host,
+		.client = client,
+		.report = report,
+		.data = data,
+	};
+	plug_hostprobe_path(probe, adapter->health_path);
+	probe->slot = plug_fetch_slot_create(fetch, &handlers);
+	return probe->slot != NULL;
+}
+
+/**
+ * plug_hostprobe_finish() - stop checking
+ * @probe: probe
+ */
+void
+plug_hostprobe_finish(struct plug_hostprobe *probe)
+{
+	plug_fetch_slot_destroy(probe->slot);
+}
+
+/**
+ * plug_hostprobe_path() - set the path of the health check
+ * @probe: probe
+ * @path: path, from the configuration
+ */
+void
+plug_hostprobe_path(struct plug_hostprobe *probe, const char *path)
+{
+	(void)plug_str_copy(
+	    plug_str_from(path), probe->path, sizeof(probe->path));
+}
+
+/**
+ * plug_hostprobe_socket() - connection that ends with the host
+ * @probe: probe
+ *
+ * Return: descriptor to wait for between checks, or -1.
+ */
+int
+plug_hostprobe_socket(const struct plug_hostprobe *probe)
+{
+	return plug_fetch_busy(probe->slot) || probe->last.draining
+		   ? -1
+		   : plug_fetch_socket(probe->slot);
+}
+
+/**
+ * plug_hostprobe_step() - check when it is time, or the connection has ended
+ * @probe: probe
+ * @now: time
+ *
+ * Return: time of the next call, at the latest.
+ */
+plug_time
+plug_hostprobe_step(struct plug_hostprobe *probe, plug_time now)
+{
+	struct plug_host_report report = probe->last;
+	char url[PLUG_FETCH_URL_SIZE], address[PLUG_ENDPOINT_TEXT];
+
+	if (plug_fetch_busy(probe->slot))
+		return now + PLUG_SEC;
+	/* A leaving host closes the connection after each answer. */
+	if (probe->last.state == PLUG_HOST_UP && !probe->last.draining &&
+	    plug_fetch_closed(probe->slot)) {
+		report.state = PLUG_HOST_UNKNOWN;
+		change(probe, &report, "the connection has ended");
+		probe->due = now;
+	}
+	if (probe->due > now)
+		return probe->due;
+	(void)plug_endpoint_format(probe->host, address, sizeof(address));
+	(void)snprintf(url, sizeof(url), "http://%s%s", address, probe->path);
+	probe->health = (struct plug_health){ 0 };
+	probe->checks++;
+	if (!plug_fetch_start(probe->slot, url, ANSWER_MS))
+		probe->due = now + CHECK_PERIOD;
+	return now + PLUG_SEC;
+}
--- /dev/null
+++ b/net/hostprobe.h
@@ -0,0 +1,60 @@
+#ifndef PLUG_HOSTPROBE_H
+#define PLUG_HOSTPROBE_H
+
+#include "adapter.h"
+#include "fetch.h"
+#include "libplantainlug/track/agent.h"
+
+/**
+ * struct plug_host_report - what a probe has found
+ * @state: whether the host runs
+ * @host: hash of its instance id, for PLUG_HOST_UP
+ * @draining: its health check fails
+ */
+struct plug_host_report {
+	enum plug_host_state state;
+	uint64_t host;
+	bool draining;
+};
+
+/**
+ * struct plug_hostprobe - health checks of the host beside an agent
+ * @adapter: how the host speaks
+ * @host: its address
+ * @path: path of its health check
+ * @slot: the GET and the kept connection, which ends with the host
+ * @client: log handler
+ * @report: receives each change
+ * @data: first argument of @report
+ * @due: time of the next check
+ * @health: header of the answer under way
+ * @last: last report
+ * @unanswered: checks in a row that got no answer
+ * @checks: checks so far
+ */
+struct plug_hostprobe {
+	const struct plug_adapter *adapter;
+	struct plug_endpoint host;
+	char path[PLUG_HEALTH_PATH_SIZE];
+	struct plug_fetch_slot *slot;
+	const struct plug_client *client;
+	void (*report)(void *data, const struct plug_host_report *report);
+	void *data;
+	plug_time due;
+	struct plug_health health;
+	struct plug_host_report last;
+	unsigned int unanswered;
+	uint64_t checks;
+};
+
+bool plug_hostprobe_init(struct plug_hostprobe *probe,
+    const struct plug_adapter *adapter, struct plug_endpoint host,
+    struct plug_fetch *fetch, const struct plug_client *client,
+    void (*report)(void *data, const struct plug_host_report *report),
+    void *data);
+void plug_hostprobe_finish(struct plug_hostprobe *probe);
+void plug_hostprobe_path(struct plug_hostprobe *probe, const char *path);
+int plug_hostprobe_socket(const struct plug_hostprobe *probe);
+plug_time plug_hostprobe_step(struct plug_hostprobe *probe, plug_time now);
+
+#endif
--- a/net/log.c
+++ b/net/log.c
@@ -11,10 +11,11 @@
 #include "libplantainlug/document.h"
 #include "log.h"
 
-#define RING_SIZE     8192     /* lines; a power of two */
-#define WRITER_PAUSE  5000000L /* nanoseconds between empty polls */
-#define TIME_SIZE     40       /* bytes of a formatted time, with NUL */
-#define CACHE_LINE    64       /* bytes */
+#define RING_SIZE     1024	/* lines, 0.6 MB; a power of two */
+#define PAUSE_MIN     5000000L	/* nanoseconds between polls of a busy ring */
+#define PAUSE_MAX     80000000L /* and of one that has long been empty */
+#define TIME_SIZE     40	/* bytes of a formatted time, with NUL */
+#define CACHE_LINE    64	/* bytes */
 #define NSEC_PER_USEC 1000
 
 /*
@@ -140,19 +141,26 @@
 static void *
 run_writer(void *data)
 {
-	const struct timespec pause = { 0, WRITER_PAUSE };
+	struct timespec pause = { 0, PAUSE_MIN };
 	struct plug_log *log = data;
 	uint64_t reported = 0;
 
 	for (;;) {
 		bool stopping = atomic_load(&log->stopping);
 
+		bool wrote = false;
+
 		while (write_next(log))
-			continue;
+			wrote = true;
 		report_dropped(log, &reported);
-		(void)fflush(log->file);
+		if (wrote)
+			(void)fflush(log->file);
 		if (stopping)
 			return NULL;
+		/* Each wake-up costs; an idle process shall have few. */
+		pause.tv_nsec = wrote			    ? PAUSE_MIN
+				: pause.tv_nsec < PAUSE_MAX ? 2 * pause.tv_nsec
+							    : PAUSE_MAX;
 		(void)nanosleep(&pause, NULL);
 	}
 }
--- a/net/platform.c
+++ b/net/platform.c
@@ -7,6 +7,7 @@
 #include "../libplantainlug/document.h"
 #include "buffer.h"
 #include "platform.h"
+#include "pollset.h"
 
 #define KEY_SIZE	96     /* bytes of a key, with the NUL */
 #define URL_SIZE	256    /* bytes */
@@ -380,25 +381,13 @@
     struct plug_platform *platform, struct pollfd *fds, unsigned int max)
 {
 	fd_set in, out, error;
-	unsigned int count = 0;
 	int top = -1;
 
 	FD_ZERO(&in);
 	FD_ZERO(&out);
 	FD_ZERO(&error);
 	(void)curl_multi_fdset(platform->multi, &in, &out, &error, &top);
-	for (int fd = 0; fd <= top && count < max; fd++) {
-		short events = 0;
-
-		if (FD_ISSET(fd, &in))
-			events |= POLLIN;
-		if (FD_ISSET(fd, &out))
-			events |= POLLOUT;
-		if (events != 0)
-			fds[count++] =
-			    (struct pollfd){ .fd = fd, .events = events };
-	}
-	return count;
+	return plug_pollset_from(&in, &out, top, fds, max);
 }
 
 /**
