Declare a host dead only when it answers no segment; test the tracking mode

Cause: a leaving host closes its port about 3 s after it has begun to drain and goes on serving its flows.

Change: a refused connection only stops new flows. A host is dead when it also answers no segment for 250 ms. SIGHUP reads the settings again. The test of the rebalancing rate now states the rule that replaced the fixed 2%.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -17,6 +17,12 @@
  * by then, it holds or has dropped. */
 #define PROBE_TIME (2 * PLUG_SEC)
 
+/* A leaving host closes its port and goes on serving its flows for seconds. One
+ * that also answers no segment for this long is dead: a living host answers or
+ * returns one within a few milliseconds, and while it works on all requests,
+ * within the longest of them. */
+#define UNANSWERED_TIME (250 * PLUG_MSEC)
+
 #define IDLE_DEFAULT (15 * PLUG_SEC) /* until the configuration is known */
 #define IDLE_SLACK   (10 * PLUG_SEC) /* entries forget first */
 
@@ -249,6 +255,15 @@
 		    reason);
 }
 
+static void
+hand_to_host(struct plug_track_agent *agent, plug_time now,
+    const struct plug_segment *segment)
+{
+	if (agent->unanswered == 0)
+		agent->unanswered = now;
+	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+}
+
 static void
 open_flow(struct plug_track_agent *agent, plug_time now, uint32_t entry,
     const struct plug_segment *segment)
@@ -259,7 +274,7 @@
 	agent->counters[PLUG_AGENT_ADMITTED]++;
 	log_flow(
 	    agent, PLUG_LOG_DEBUG, "open_admitted", &segment->tuple, "room");
-	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+	hand_to_host(agent, now, segment);
 }
 
 /* Why a new flow for a host can't be admitted now or later; UNSPECIFIED when
@@ -270,6 +285,7 @@
 	switch (agent->state) {
 	case PLUG_HOST_UNKNOWN:
 		break;
+	case PLUG_HOST_REFUSING:
 	case PLUG_HOST_DOWN:
 		return PLUG__REFUSAL_REASON__OTHER_HOST;
 	case PLUG_HOST_UP:
@@ -328,7 +344,7 @@
  * plug_track_agent_host() - what is known of the host has changed
  * @agent: agent
  * @now: time
- * @state: whether it runs
+ * @state: what the probe has seen; PLUG_HOST_DOWN is the agent's own finding
  * @host: hash of its instance id, for PLUG_HOST_UP
  * @draining: its health check says that it is leaving
  */
@@ -342,9 +358,10 @@
 	switch (state) {
 	case PLUG_HOST_UNKNOWN:
 		break;
+	case PLUG_HOST_REFUSING:
 	case PLUG_HOST_DOWN:
-		if (agent->state != PLUG_HOST_DOWN)
-			lose_all(agent, "host_down");
+		if (agent->state == PLUG_HOST_DOWN)
+			return;
 		break;
 	case PLUG_HOST_UP:
 		if (restarted) {
@@ -360,6 +377,22 @@
 	admit_waiters(agent, now);
 }
 
+/* Declares a host dead that refuses connections and answers no segment. */
+static void
+check_host(struct plug_track_agent *agent, plug_time now)
+{
+	if (agent->state != PLUG_HOST_REFUSING || agent->unanswered == 0 ||
+	    now - agent->unanswered < UNANSWERED_TIME)
+		return;
+	plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
+	    "event=host_dead host=%016llx flows=%u silent_ms=%lld",
+	    (unsigned long long)agent->host, agent->open,
+	    (long long)((now - agent->unanswered) / PLUG_MSEC));
+	agent->state = PLUG_HOST_DOWN;
+	lose_all(agent, "host_dead");
+	report_to_all(agent);
+}
+
 static void
 client_sent(struct plug_track_agent *agent, plug_time now,
     struct plug_held_flow *flow, const struct plug_segment *segment)
@@ -373,7 +406,7 @@
 		flow->working = true;
 	count_flow(agent, flow, 1);
 	plug_conntable_touch(&agent->flows, &flow->conn, now);
-	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+	hand_to_host(agent, now, segment);
 	if ((segment->flags & PLUG_SEGMENT_RST) != 0)
 		remove_flow(agent, flow);
 }
@@ -389,7 +422,7 @@
 		return;
 	flow->ack = segment->ack;
 	agent->counters[PLUG_AGENT_PROBES]++;
-	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+	hand_to_host(agent, now, segment);
 }
 
 /**
@@ -491,6 +524,7 @@
 	struct plug_held_flow *flow;
 
 	agent->counters[PLUG_AGENT_RETURNED]++;
+	agent->unanswered = 0;
 	if ((segment->flags & PLUG_SEGMENT_BOUNCED) != 0) {
 		handle_bounced(agent, segment);
 		admit_waiters(agent, now);
@@ -527,8 +561,7 @@
 	flow = plug_conntable_find(&agent->flows, &segment.tuple);
 	if (flow != NULL && flow->state != PLUG_HELD_PROBED) {
 		flow->entry = from;
-		plug_track_segment(
-		    agent->driver, PLUG_TRACK_TO_HOST, 0, &segment);
+		hand_to_host(agent, now, &segment);
 		return;
 	}
 	if (flow != NULL)
@@ -611,7 +644,7 @@
 		return;
 	}
 	flow->entry = from;
-	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, &segment);
+	hand_to_host(agent, now, &segment);
 }
 
 /**
@@ -679,7 +712,9 @@
 	load.flows = agent->open;
 	load.running = agent->running + agent->opening;
 	load.waiting = agent->gate.waiting;
-	load.accepting = agent->state != PLUG_HOST_DOWN && !agent->draining;
+	load.accepting = !agent->draining &&
+			 agent->state != PLUG_HOST_REFUSING &&
+			 agent->state != PLUG_HOST_DOWN;
 	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOAD;
 	notice.load = &load;
 	plug_track_notify(agent->driver, entry, &notice);
@@ -726,6 +761,7 @@
 {
 	plug_time next;
 
+	check_host(agent, now);
 	admit_waiters(agent, now);
 	next = report(agent, now);
 	if (now >= agent->next_sweep) {
@@ -734,7 +770,8 @@
 	}
 	if (agent->next_sweep < next)
 		next = agent->next_sweep;
-	if (agent->gate.first != NULL && now + GATE_TICK < next)
+	if ((agent->gate.first != NULL || agent->state == PLUG_HOST_REFUSING) &&
+	    now + GATE_TICK < next)
 		next = now + GATE_TICK;
 	return next;
 }
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -10,7 +10,8 @@
 enum plug_host_state {
 	PLUG_HOST_UNKNOWN, /* not asked yet, or being asked again */
 	PLUG_HOST_UP,
-	PLUG_HOST_DOWN, /* it refuses connections */
+	PLUG_HOST_REFUSING, /* it refuses connections: it is leaving or dead */
+	PLUG_HOST_DOWN,	    /* and answers no segment, either */
 };
 
 enum plug_held_state {
@@ -76,6 +77,8 @@
  * @state: whether the host runs
  * @host: hash of its instance id; 0 if it was never learned
  * @draining: the host is leaving
+ * @unanswered: time of the first segment handed to the host since it last sent
+ *   one; 0 without one
  * @since: time from which on every flow of the host has passed the agent
  * @whole: no host has run beside this agent without its knowledge
  * @idle_timeout: idle flows may be forgotten after this time
@@ -93,6 +96,7 @@
 	enum plug_host_state state;
 	uint64_t host;
 	bool draining;
+	plug_time unanswered;
 	plug_time since;
 	bool whole;
 	plug_time idle_timeout;
--- a/libplantainlug/track/conntable.c
+++ b/libplantainlug/track/conntable.c
@@ -33,10 +33,16 @@
 void
 plug_conntable_finish(struct plug_conntable *table)
 {
-	while (table->oldest != NULL)
-		plug_conntable_remove(table, table->oldest);
+	struct plug_conn *conn = table->oldest;
+
+	while (conn != NULL) {
+		struct plug_conn *newer = conn->newer;
+
+		free(conn);
+		conn = newer;
+	}
 	free(table->buckets);
-	table->buckets = NULL;
+	*table = (struct plug_conntable){ 0 };
 }
 
 static struct plug_conn **
@@ -70,7 +76,7 @@
 grow(struct plug_conntable *table)
 {
 	unsigned int count = table->bucket_count * 2;
-	struct plug_conn **buckets = calloc(count, sizeof(*buckets));
+	struct plug_conn **buckets = calloc(count, sizeof(struct plug_conn *));
 	struct plug_conn *conn;
 
 	if (buckets == NULL)
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -241,12 +241,14 @@
 		open_again(entry, now, flow, segment, service);
 }
 
+/* The host has got the first segment already if it was asked by it. */
 static void
 send_saved(struct plug_track_entry *entry, const struct plug_entry_flow *flow)
 {
 	const struct plug_lookup *lookup = flow->lookup;
+	unsigned int i = plug_lookup_probed(lookup, flow->agent) ? 1 : 0;
 
-	for (unsigned int i = 0; i < lookup->saved_count; i++) {
+	for (; i < lookup->saved_count; i++) {
 		const struct plug_segment segment = {
 			.tuple = flow->conn.tuple,
 			.bytes = { (const char *)lookup->saved[i],
--- a/libplantainlug/track/lookup.c
+++ b/libplantainlug/track/lookup.c
@@ -71,6 +71,16 @@
 	lookup->saved_count++;
 }
 
+static struct plug_lookup_host *
+find_agent(const struct plug_lookup *lookup, uint32_t agent)
+{
+	for (unsigned int i = 0; i < lookup->count; i++) {
+		if (lookup->hosts[i].agent == agent)
+			return &lookup->hosts[i];
+	}
+	return NULL;
+}
+
 /**
  * plug_lookup_answer() - an agent has answered
  * @lookup: lookup
@@ -81,12 +91,8 @@
 plug_lookup_answer(
     struct plug_lookup *lookup, uint32_t agent, Plug__Holding holding)
 {
-	struct plug_lookup_host *host = NULL;
+	struct plug_lookup_host *host = find_agent(lookup, agent);
 
-	for (unsigned int i = 0; i < lookup->count && host == NULL; i++) {
-		if (lookup->hosts[i].agent == agent)
-			host = &lookup->hosts[i];
-	}
 	if (host == NULL) {
 		host =
 		    realloc(lookup->hosts, (lookup->count + 1) * sizeof(*host));
@@ -100,14 +106,17 @@
 	host->holding = holding;
 }
 
-static bool
-knows_agent(const struct plug_lookup *lookup, uint32_t agent)
+/**
+ * plug_lookup_probed() - whether a host was asked by the first kept segment
+ * @lookup: lookup
+ * @agent: address of its machine
+ */
+bool
+plug_lookup_probed(const struct plug_lookup *lookup, uint32_t agent)
 {
-	for (unsigned int i = 0; i < lookup->count; i++) {
-		if (lookup->hosts[i].agent == agent)
-			return true;
-	}
-	return false;
+	const struct plug_lookup_host *host = find_agent(lookup, agent);
+
+	return host != NULL && host->probed;
 }
 
 static void
@@ -125,7 +134,7 @@
 		const struct plug_fleet_host *host = &fleet->hosts[i];
 
 		if ((!lookup->wide && host->domain != domain) ||
-		    knows_agent(lookup, host->address))
+		    find_agent(lookup, host->address) != NULL)
 			continue;
 		hosts[lookup->count++] = (struct plug_lookup_host){
 			.id = host->id,
--- a/libplantainlug/track/lookup.h
+++ b/libplantainlug/track/lookup.h
@@ -70,6 +70,7 @@
     struct plug_lookup *lookup, const struct plug_segment *segment);
 void plug_lookup_answer(
     struct plug_lookup *lookup, uint32_t agent, Plug__Holding holding);
+bool plug_lookup_probed(const struct plug_lookup *lookup, uint32_t agent);
 enum plug_lookup_verdict plug_lookup_step(struct plug_lookup *lookup,
     plug_time now, const struct plug_fleet *fleet, uint32_t domain,
     const struct plug_track_driver *driver, uint32_t *agent);
--- a/libplantainlug/track/segment.h
+++ b/libplantainlug/track/segment.h
@@ -3,8 +3,7 @@
 
 #include "../client.h"
 
-#define PLUG_SEGMENT_MAX \
-	1400 /* bytes: header and 1,200 bytes of data, rounded */
+#define PLUG_SEGMENT_MAX 1400 /* bytes: a header and 1,200 of data */
 
 /* Flags of a segment; the adapter translates those of the wire. */
 #define PLUG_SEGMENT_SYN     0x01U
--- a/net/adapter.h
+++ b/net/adapter.h
@@ -3,8 +3,7 @@
 
 #include "libplantainlug/track/fleet.h"
 
-#define PLUG_STORE_KEY_SIZE 256 /* bytes of a key of the store, with the NUL \
-				 */
+#define PLUG_STORE_KEY_SIZE 256 /* bytes of a key, with the NUL */
 
 enum plug_store_read {
 	PLUG_STORE_OPERATORS, /* what the operators have written */
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -19,8 +19,7 @@
  * those through which nothing passes any more give no other sign. */
 #define UNACKNOWLEDGED_MS 1500
 
-#define BODY_MAX ((size_t)4 * 1024 * 1024) /* bytes; values have at most 1 MB \
-					    */
+#define BODY_MAX ((size_t)4 * 1024 * 1024) /* bytes of an answer */
 
 struct plug_fetch {
 	CURLM *multi;
--- a/net/hostprobe.c
+++ b/net/hostprobe.c
@@ -9,9 +9,9 @@
  * of the host's slots. */
 #define CHECK_PERIOD PLUG_SEC
 
-#define DOWN_PERIOD    (100 * PLUG_MSEC) /* while nothing listens */
+#define REFUSED_PERIOD (100 * PLUG_MSEC) /* while nothing listens */
 #define ANSWER_MS      1000L /* a busy host answers behind its queue */
-#define UNANSWERED_MAX 3 /* checks without an answer that make a host down */
+#define UNANSWERED_MAX 3 /* checks without an answer that count as refused */
 #define STATUS_HEALTHY 200
 
 static void
@@ -30,10 +30,11 @@
 		return "unknown";
 	case PLUG_HOST_UP:
 		return "up";
+	case PLUG_HOST_REFUSING:
 	case PLUG_HOST_DOWN:
 		break;
 	}
-	return "down";
+	return "refusing";
 }
 
 static void
@@ -68,16 +69,13 @@
 		report.host = probe->health.host;
 		report.draining = answer->status != STATUS_HEALTHY;
 		reason = "answer";
-	} else if (report.draining) {
-		/* A leaving host closes its port before its flows. */
-		reason = "leaving";
 	} else if (answer->refused) {
-		report.state = PLUG_HOST_DOWN;
-		probe->due = now + DOWN_PERIOD;
+		report.state = PLUG_HOST_REFUSING;
+		probe->due = now + REFUSED_PERIOD;
 	} else if (++probe->unanswered >= UNANSWERED_MAX) {
-		report.state = PLUG_HOST_DOWN;
+		report.state = PLUG_HOST_REFUSING;
 	} else {
-		probe->due = now + DOWN_PERIOD;
+		probe->due = now + REFUSED_PERIOD;
 	}
 	change(probe, &report, reason);
 }
--- a/net/stop.h
+++ b/net/stop.h
@@ -5,5 +5,6 @@
 
 void plug_stop_install(void);
 bool plug_stop_requested(void);
+bool plug_stop_reload_taken(void);
 
 #endif
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -13,6 +13,8 @@
 /* An agent needs little of the configuration: it reads it this often. */
 #define AGENT_PERIOD (20 * PLUG_SEC)
 
+#define FIRST_PERIOD PLUG_SEC /* until there is one */
+
 #define ANSWER_MS 1000L /* answers take 4 ms, or 60 times as long when slow */
 
 /* Reads of the host list that may lag cost a tenth of an exact one. */
@@ -406,7 +408,8 @@
 	if (page.more)
 		return;
 	if (reader->handlers.fleet == NULL) {
-		part->due = now + AGENT_PERIOD;
+		part->due = now + (reader->config == NULL ? FIRST_PERIOD
+							  : AGENT_PERIOD);
 		return;
 	}
 	part->query.what = PLUG_STORE_CHANGES;
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -284,12 +284,12 @@
 {
 	struct pollfd fds[FDS_MAX];
 	plug_time now = plug_clock_now();
-	plug_time next = trackd->next_look;
+	plug_time next;
 	unsigned int count;
 	eventfd_t value;
 	int wait;
 
-	if (now >= trackd->next_look)
+	if (plug_stop_reload_taken() || now >= trackd->next_look)
 		look_at_settings(trackd, now);
 	next = earlier(
 	    trackd->next_look, plug_storereader_step(trackd->reader, now));
--- a/net/tracktraffic.c
+++ b/net/tracktraffic.c
@@ -11,11 +11,10 @@
 #include "control.h"
 #include "tracktraffic.h"
 
-#define RECEIVE_BUFFER \
-	(1 << 20)	   /* bytes; a burst during a pause of the thread */
-#define BATCH	      64   /* datagrams of one socket before the others */
-#define DATAGRAM_SIZE 2048 /* bytes, above any valid size */
-#define RESET_SIZE    64   /* bytes, above the header's size */
+#define RECEIVE_BUFFER (1 << 20) /* bytes; a burst while the thread pauses */
+#define BATCH	       64	 /* datagrams of one socket before the others */
+#define DATAGRAM_SIZE  2048	 /* bytes, above any valid size */
+#define RESET_SIZE     64	 /* bytes, above the header's size */
 
 static void
 send_to(struct plug_tracktraffic *traffic, int fd, uint32_t address,
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -19,5 +19,7 @@
 Suite *transfer_suite(void);
 Suite *faults_suite(void);
 Suite *explain_suite(void);
+Suite *track_suite(void);
+Suite *adapter_suite(void);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_track.c
@@ -0,0 +1,450 @@
+#include <check.h>
+
+#include "suites.h"
+#include "trackworld.h"
+
+#define SHORT (60 * PLUG_MSEC) /* a lookup and one request */
+
+static struct world world;
+
+static void
+teardown(void)
+{
+	world_finish(&world);
+}
+
+static void
+setup(void)
+{
+	world_init(&world, 2, 5);
+}
+
+/* Guards against a flow that is lost, or sent to other hosts, when its packets
+ * come through an entry that has not opened it. */
+START_TEST(another_entry_finds_the_host)
+{
+	int holder;
+
+	world_open(&world, 0, 7);
+	holder = world_holder(&world, 7);
+	world_data(&world, 1, 7);
+	world_run(&world, SHORT);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	ck_assert_uint_eq(world_strange(&world), 0);
+	ck_assert_int_eq(world_holder(&world, 7), holder);
+}
+END_TEST
+
+/* Guards against the same after the entry itself has restarted. */
+START_TEST(restarted_entry_finds_the_host)
+{
+	world_open(&world, 0, 7);
+	world_restart_entry(&world, 0);
+	world_data(&world, 0, 7);
+	world_run(&world, SHORT);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against an agent that has restarted and denies a flow that its host
+ * still has. */
+START_TEST(restarted_agent_keeps_the_flow)
+{
+	unsigned int holder;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	world_restart_agent(&world, holder);
+	world_data(&world, 0, 7);
+	world_run(&world, SHORT);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against lost flows when all processes restart at once: only the hosts
+ * know then which of them has a flow. */
+START_TEST(all_processes_restart)
+{
+	for (uint16_t port = 1; port <= 20; port++)
+		world_open(&world, port % 2, port);
+	for (unsigned int i = 0; i < 5; i++)
+		world_restart_agent(&world, i);
+	for (unsigned int i = 0; i < 2; i++)
+		world_restart_entry(&world, i);
+	for (uint16_t port = 1; port <= 20; port++)
+		world_data(&world, 0, port);
+	world_run(&world, 400 * PLUG_MSEC);
+	for (uint16_t port = 1; port <= 20; port++) {
+		ck_assert_uint_eq(world.clients[port].answers, 2);
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+	}
+}
+END_TEST
+
+/* Guards against three segments at hosts that don't have a flow while the one
+ * that has it is out of reach: that counts as a broken flow. */
+START_TEST(few_probes_while_the_host_is_unreachable)
+{
+	unsigned int holder;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	for (unsigned int i = 0; i < 5; i++)
+		world_restart_agent(&world, i);
+	world.agent_nodes[holder].cut = true;
+	world_restart_entry(&world, 0);
+	world_data(&world, 0, 7);
+	world_run(&world, 300 * PLUG_MSEC);
+	ck_assert_uint_le(world_strange(&world), 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	world.agent_nodes[holder].cut = false;
+	world_run(&world, 300 * PLUG_MSEC);
+	world_data(&world, 0, 7);
+	world_run(&world, 200 * PLUG_MSEC);
+	ck_assert_uint_ge(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against clients that wait for their deadline after all hosts have
+ * restarted: nobody holds their flows any more. */
+START_TEST(absent_flow_is_reset)
+{
+	world_open(&world, 0, 7);
+	for (unsigned int i = 0; i < 5; i++) {
+		world.hosts[i].holds[7] = false;
+		world.hosts[i].answers[7] = false;
+		world.hosts[i].id = 200 + i;
+		world_restart_agent(&world, i);
+	}
+	world_restart_entry(&world, 0);
+	world_adopt_all(&world, true);
+	world_data(&world, 0, 7);
+	world_run(&world, 30 * PLUG_MSEC);
+	ck_assert_uint_eq(world.refreshes, 1);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	world_adopt_all(&world, true);
+	world_run(&world, 30 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 1);
+}
+END_TEST
+
+/* Guards against the reset of a flow whose host this entry doesn't list yet. */
+START_TEST(no_reset_before_an_exact_list)
+{
+	world_open(&world, 0, 7);
+	world.listed[world_holder(&world, 7)] = false;
+	world_adopt(&world, 1, true);
+	world_data(&world, 1, 7);
+	world_run(&world, 30 * PLUG_MSEC);
+	ck_assert_uint_eq(world.refreshes, 1);
+	world_adopt(&world, 1, false);
+	world_run(&world, 30 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	world.listed[world_holder(&world, 7)] = true;
+	world_adopt(&world, 1, true);
+	world_run(&world, SHORT);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+}
+END_TEST
+
+/* Guards against the reset of a flow whose host has lapsed from the list while
+ * the store was away. */
+START_TEST(no_reset_by_a_list_that_is_not_trusted)
+{
+	world_open(&world, 0, 7);
+	world.listed[world_holder(&world, 7)] = false;
+	world.untrusted = true;
+	world_restart_entry(&world, 1);
+	world_data(&world, 1, 7);
+	world_run(&world, 30 * PLUG_MSEC);
+	world_adopt(&world, 1, true);
+	world_run(&world, 600 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against the reset of a flow whose host's agent doesn't answer. */
+START_TEST(no_reset_while_an_agent_is_silent)
+{
+	unsigned int holder;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	world.agent_nodes[holder].cut = true;
+	world_data(&world, 1, 7);
+	world_run(&world, 100 * PLUG_MSEC);
+	world_adopt(&world, 1, true);
+	world_run(&world, PLUG_SEC);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against a client that waits when its host has crashed. The bound is
+ * a quarter of a second for the certainty and a little for the way. */
+START_TEST(crashed_host_resets_its_flows)
+{
+	unsigned int holder;
+	plug_time crashed;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	world_host_crash(&world, holder);
+	crashed = world.now;
+	world_data(&world, 0, 7);
+	world_run(&world, 400 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 1);
+	ck_assert_int_le(world.clients[7].reset_at - crashed, 300 * PLUG_MSEC);
+	/* The client goes on sending into the flow that has ended. */
+	world_data(&world, 0, 7);
+	world_run(&world, 10 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 2);
+}
+END_TEST
+
+/* Guards against the reset of living flows when a leaving host closes its port:
+ * FLOW on mwangaza-lb, trouble-1 --seed 723571206431. */
+START_TEST(leaving_host_keeps_its_flows)
+{
+	unsigned int holder;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	world.hosts[holder].listening = false;
+	world_probe(&world, holder);
+	for (unsigned int i = 2; i < 20; i++) {
+		world_data(&world, 0, 7);
+		world_run(&world, 100 * PLUG_MSEC);
+		ck_assert_uint_eq(world.clients[7].answers, i);
+	}
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	/* New flows go elsewhere. */
+	for (uint16_t port = 20; port < 40; port++) {
+		world_open(&world, 0, port);
+		ck_assert_int_ne(world_holder(&world, port), (int)holder);
+	}
+}
+END_TEST
+
+/* Guards against a reset that comes for another reason than the host's: after
+ * a restart under the same id only the flow's segment tells. */
+START_TEST(returned_segment_ends_the_flow)
+{
+	unsigned int holder;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	world.hosts[holder].holds[7] = false;
+	world.hosts[holder].answers[7] = false;
+	world_data(&world, 0, 7);
+	world_run(&world, 20 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 1);
+}
+END_TEST
+
+/* Guards against a flow that is torn between two hosts which have answered
+ * copies of its SYN through two entries. */
+START_TEST(copies_of_a_syn_at_two_hosts)
+{
+	for (uint16_t port = 1; port <= 10; port++) {
+		unsigned int syns = 0;
+
+		world_syn(&world, 0, port);
+		world_syn(&world, 1, port);
+		world_run(&world, 5 * PLUG_MSEC);
+		for (unsigned int i = 0; i < 5; i++)
+			syns += world.hosts[i].syns;
+		ck_assert_uint_eq(syns / 2, port);
+		/* The entry that didn't open it carries the flow. */
+		world_ack(&world, 1, port);
+		world_data(&world, 1, port);
+		world_run(&world, 200 * PLUG_MSEC);
+		world_data(&world, 0, port);
+		world_run(&world, 200 * PLUG_MSEC);
+		ck_assert_uint_eq(world.clients[port].answers, 2);
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+	}
+}
+END_TEST
+
+/* Guards against a client that waits when its host returns the SYN. */
+START_TEST(returned_syn_goes_to_another_host)
+{
+	for (unsigned int i = 0; i < 4; i++)
+		world.hosts[i].takes_syn = false;
+	world_open(&world, 0, 7);
+	ck_assert_int_eq(world_holder(&world, 7), 4);
+	world.hosts[4].takes_syn = false;
+	world_syn(&world, 0, 8);
+	world_run(&world, 20 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[8].resets, 1);
+}
+END_TEST
+
+/* Guards against work for a host that is leaving or whose domain is out. */
+START_TEST(draining_and_out_hosts_get_no_flow)
+{
+	world.draining[0] = true;
+	world.far_out = true;
+	world_adopt_all(&world, true);
+	for (uint16_t port = 1; port <= 40; port++)
+		world_open(&world, port % 2, port);
+	ck_assert_uint_eq(world.hosts[0].syns, 0);
+	ck_assert_uint_eq(world.hosts[3].syns, 0);
+	ck_assert_uint_eq(world.hosts[4].syns, 0);
+}
+END_TEST
+
+/* Guards against a flow at another service after its address was used again:
+ * the entry's list still shows the host of before. */
+START_TEST(reused_address_gets_no_flow)
+{
+	world_host_crash(&world, 1);
+	world_host_return(&world, 1, 999);
+	for (uint16_t port = 1; port <= 20; port++)
+		world_open(&world, 0, port);
+	ck_assert_uint_eq(world.hosts[1].syns, 0);
+}
+END_TEST
+
+/* Guards against more flows than a cold host bears, over all entries and with a
+ * restart of its agent: 1.5 times the rate and 5 more in any second. */
+START_TEST(cold_host_gets_its_share)
+{
+	unsigned int history[400] = { 0 };
+	uint16_t port = 0;
+
+	world.cold_per_s = 8;
+	world.cold_until[1] = world.now + 60 * PLUG_SEC;
+	world.hosts[1].slots = 50;
+	world.hosts[1].work = PLUG_MSEC;
+	world_only(&world, 1);
+	for (unsigned int i = 0; i < 200; i++) {
+		world_syn(&world, i % 2, ++port);
+		if (i == 90)
+			world_restart_agent(&world, 1);
+		world_run(&world, 20 * PLUG_MSEC);
+		history[i] = world.hosts[1].syns;
+		/* 50 steps are a second. */
+		ck_assert_uint_le(history[i] - (i < 50 ? 0 : history[i - 50]),
+		    (unsigned int)(8 * 1.5 + 5));
+	}
+	ck_assert_uint_ge(world.hosts[1].syns, 4 * 8 - 8);
+}
+END_TEST
+
+/* Guards against a host that is buried when all clients come back at once. The
+ * host sheds what exceeds its own queue of 4 for each slot. */
+START_TEST(herd_waits_at_the_gate)
+{
+	for (uint16_t port = 1; port <= 200; port++)
+		world_syn(&world, port % 2, port);
+	for (unsigned int step = 0; step < 100; step++) {
+		for (uint16_t port = 1; port <= 200; port++) {
+			struct world_client *client = &world.clients[port];
+
+			if (client->accepts > 0 && client->reset_at == 0 &&
+			    client->answered_at == 0) {
+				client->answered_at = 1;
+				world_data(&world, port % 2, port);
+			}
+		}
+		world_run(&world, 5 * PLUG_MSEC);
+	}
+	for (unsigned int i = 0; i < 5; i++)
+		ck_assert_uint_le(world.hosts[i].most,
+		    world.hosts[i].slots + 4 * world.hosts[i].slots);
+	for (uint16_t port = 1; port <= 200; port++)
+		ck_assert(world.clients[port].answers > 0 ||
+			  world.clients[port].resets > 0);
+}
+END_TEST
+
+/* Guards against silence towards a client that names no route. */
+START_TEST(flow_without_route_is_reset)
+{
+	world_open(&world, 0, 7);
+	world.no_route = true;
+	world_adopt_all(&world, true);
+	world_syn(&world, 0, 8);
+	world_data(&world, 0, 7);
+	world_data(&world, 1, 7);
+	world_run(&world, 10 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[8].resets, 1);
+	ck_assert_uint_eq(world.clients[7].resets, 2);
+	ck_assert_uint_eq(world.clients[7].answers, 1);
+}
+END_TEST
+
+/* Guards against new flows at a machine that doesn't answer. */
+START_TEST(silent_agent_is_left_out)
+{
+	world_open(&world, 0, 1);
+	world.agent_nodes[0].cut = true;
+	world_syn(&world, 0, 2);
+	world_syn(&world, 0, 3);
+	world_syn(&world, 0, 4);
+	world_run(&world, 400 * PLUG_MSEC);
+	for (uint16_t port = 2; port <= 4; port++) {
+		if (world.clients[port].accepts == 0)
+			world_syn(&world, 0, port);
+	}
+	world_run(&world, 20 * PLUG_MSEC);
+	for (uint16_t port = 2; port <= 4; port++)
+		ck_assert_uint_ge(world.clients[port].accepts, 1);
+}
+END_TEST
+
+/* Guards against flows that gather at one host. */
+START_TEST(flows_are_spread)
+{
+	unsigned int least = 100, most = 0;
+
+	for (uint16_t port = 1; port <= 60; port++)
+		world_open(&world, port % 2, port);
+	for (unsigned int i = 0; i < 3; i++) {
+		unsigned int open = world.agents[i].open;
+
+		least = open < least ? open : least;
+		most = open > most ? open : most;
+	}
+	ck_assert_uint_le(most, least + 2);
+	ck_assert_uint_eq(world.agents[3].open + world.agents[4].open, 0);
+}
+END_TEST
+
+Suite *
+track_suite(void)
+{
+	Suite *suite = suite_create("track");
+	TCase *flows = tcase_create("flows");
+
+	tcase_add_checked_fixture(flows, setup, teardown);
+	tcase_add_test(flows, another_entry_finds_the_host);
+	tcase_add_test(flows, restarted_entry_finds_the_host);
+	tcase_add_test(flows, restarted_agent_keeps_the_flow);
+	tcase_add_test(flows, all_processes_restart);
+	tcase_add_test(flows, few_probes_while_the_host_is_unreachable);
+	tcase_add_test(flows, absent_flow_is_reset);
+	tcase_add_test(flows, no_reset_before_an_exact_list);
+	tcase_add_test(flows, no_reset_by_a_list_that_is_not_trusted);
+	tcase_add_test(flows, no_reset_while_an_agent_is_silent);
+	tcase_add_test(flows, crashed_host_resets_its_flows);
+	tcase_add_test(flows, leaving_host_keeps_its_flows);
+	tcase_add_test(flows, returned_segment_ends_the_flow);
+	tcase_add_test(flows, copies_of_a_syn_at_two_hosts);
+	tcase_add_test(flows, returned_syn_goes_to_another_host);
+	tcase_add_test(flows, draining_and_out_hosts_get_no_flow);
+	tcase_add_test(flows, reused_address_gets_no_flow);
+	tcase_add_test(flows, cold_host_gets_its_share);
+	tcase_add_test(flows, herd_waits_at_the_gate);
+	tcase_add_test(flows, flow_without_route_is_reset);
+	tcase_add_test(flows, silent_agent_is_left_out);
+	tcase_add_test(flows, flows_are_spread);
+	suite_add_tcase(suite, flows);
+	return suite;
+}
--- a/tests/unit/test_transfer.c
+++ b/tests/unit/test_transfer.c
@@ -559,6 +559,17 @@
 	return (unsigned int)count;
 }
 
+/* Flows that an agent may give away in a second: 2%, or an eighth of what it
+ * has above the mean of its siblings (design 4.3). */
+static unsigned int
+allowed_moves(unsigned int flows)
+{
+	unsigned int share = flows / 50, mean = (FLOWS - flows) / 2;
+	unsigned int excess = (flows - mean) / 8;
+
+	return share > excess ? share : excess;
+}
+
 /* Guards against rebalancing that moves too much at once, or back and forth. */
 START_TEST(rebalancing_is_slow_and_settles)
 {
@@ -567,8 +578,13 @@
 	open_flows(FLOWS);
 	fleet_run(fleet, 4300);
 	ck_assert_uint_eq(fleet_load(fleet, 0).flows, FLOWS);
-	fleet_run(fleet, 10000);
-	ck_assert_uint_ge(fleet_load(fleet, 0).flows, FLOWS - 22);
+	for (unsigned int second = 0; second < 10; second++) {
+		unsigned int before = fleet_load(fleet, 0).flows;
+
+		fleet_run(fleet, 1000);
+		ck_assert_uint_ge(
+		    fleet_load(fleet, 0).flows, before - allowed_moves(before));
+	}
 	ck_assert_uint_lt(fleet_load(fleet, 0).flows, FLOWS - 10);
 	run_with_heartbeats(70);
 	for (unsigned int i = 0; i < 3; i++) {
--- /dev/null
+++ b/tests/unit/trackworld.c
@@ -0,0 +1,598 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "trackworld.h"
+
+/*
+ * A small world in simulated time: entries, agents, hosts and clients, without
+ * sockets. Segments have a header of this test's own.
+ */
+
+enum {
+	TO_ENTRY,     /* a client's segment */
+	TO_AGENT,     /* the same, from an entry */
+	TO_HOST,      /* the same, from its agent */
+	FROM_HOST,    /* a host's segment, to its agent */
+	TO_CLIENT,    /* the same, to the client */
+	RESET_CLIENT, /* a reset of the system */
+	NOTICE_TO_ENTRY,
+	NOTICE_TO_AGENT,
+	WORK_DONE, /* a host has finished a request */
+};
+
+struct header {
+	struct plug_tuple tuple;
+	unsigned int flags;
+	uint32_t seq;
+	uint32_t ack;
+	uint32_t len;
+};
+
+#define ENTRY_ADDRESS 0x0a000000U
+#define AGENT_ADDRESS 0x0a000100U
+#define STEP	      (PLUG_MSEC) /* between ticks */
+
+static bool
+decode(void *data, struct plug_str bytes, struct plug_segment *segment)
+{
+	struct header header;
+
+	(void)data;
+	if (bytes.len != sizeof(header))
+		return false;
+	memcpy(&header, bytes.data, sizeof(header));
+	*segment = (struct plug_segment){
+		.tuple = header.tuple,
+		.flags = header.flags,
+		.seq = header.seq,
+		.ack = header.ack,
+		.len = header.len,
+		.bytes = bytes,
+	};
+	return true;
+}
+
+static void
+post(struct world *world, int kind, unsigned int from, unsigned int to,
+    const void *bytes, size_t len, plug_time delay)
+{
+	struct world_message *message;
+	plug_time at = world->now + delay;
+	unsigned int i = world->count;
+
+	ck_assert_uint_lt(world->count, WORLD_MESSAGES);
+	ck_assert_uint_le(len, sizeof(message->bytes));
+	while (i > 0 && world->messages[i - 1].at > at) {
+		world->messages[i] = world->messages[i - 1];
+		i--;
+	}
+	message = &world->messages[i];
+	*message = (struct world_message){
+		.at = at,
+		.kind = kind,
+		.from = from,
+		.to = to,
+		.len = len,
+	};
+	memcpy(message->bytes, bytes, len);
+	world->count++;
+}
+
+static void
+post_segment(struct world *world, int kind, unsigned int from, unsigned int to,
+    const struct header *header, plug_time delay)
+{
+	post(world, kind, from, to, header, sizeof(*header), delay);
+}
+
+/* Whether a node can reach the other one. */
+static bool
+passes(const struct world *world, uint32_t from, uint32_t to)
+{
+	const struct world_node *a =
+	    from < AGENT_ADDRESS ? &world->entry_nodes[from - ENTRY_ADDRESS]
+				 : &world->agent_nodes[from - AGENT_ADDRESS];
+	const struct world_node *b =
+	    to < AGENT_ADDRESS ? &world->entry_nodes[to - ENTRY_ADDRESS]
+			       : &world->agent_nodes[to - AGENT_ADDRESS];
+
+	return !a->cut && !b->cut;
+}
+
+static void
+emit(void *data, const struct plug_track_action *action)
+{
+	struct world_node *node = data;
+	struct world *world = node->world;
+	bool is_entry = node >= world->entry_nodes &&
+			node < world->entry_nodes + WORLD_ENTRIES;
+	uint32_t self =
+	    (is_entry ? ENTRY_ADDRESS : AGENT_ADDRESS) + node->index;
+	uint8_t buf[256];
+	struct header header = { 0 };
+	size_t len;
+
+	if (action->segment.len == sizeof(header)) {
+		memcpy(&header, action->segment.data, sizeof(header));
+		header.flags &= ~PLUG_SEGMENT_BOUNCED;
+	}
+	switch (action->kind) {
+	case PLUG_TRACK_TO_AGENT:
+		if (passes(world, self, action->node))
+			post_segment(world, TO_AGENT, self,
+			    action->node - AGENT_ADDRESS, &header, WORLD_LINK);
+		return;
+	case PLUG_TRACK_TO_HOST:
+		post_segment(
+		    world, TO_HOST, node->index, node->index, &header, 10);
+		return;
+	case PLUG_TRACK_TO_CLIENT:
+		post_segment(world, TO_CLIENT, node->index, 0, &header,
+		    WORLD_CLIENT_RTT / 2);
+		return;
+	case PLUG_TRACK_RESET:
+		header = (struct header){ .tuple = action->tuple,
+			.seq = action->seq };
+		post_segment(world, RESET_CLIENT, node->index, 0, &header,
+		    WORLD_CLIENT_RTT / 2);
+		return;
+	case PLUG_TRACK_NOTICE:
+		len = plug__track_notice__get_packed_size(action->notice);
+		ck_assert_uint_le(len, sizeof(buf));
+		(void)plug__track_notice__pack(action->notice, buf);
+		if (passes(world, self, action->node))
+			post(world,
+			    is_entry ? NOTICE_TO_AGENT : NOTICE_TO_ENTRY, self,
+			    action->node -
+				(is_entry ? AGENT_ADDRESS : ENTRY_ADDRESS),
+			    buf, len, WORLD_LINK);
+		return;
+	case PLUG_TRACK_REFRESH:
+		world->refreshes++;
+		return;
+	}
+}
+
+static void
+init_node(struct world *world, struct world_node *node, unsigned int index)
+{
+	*node = (struct world_node){
+		.world = world,
+		.index = index,
+		.up = true,
+	};
+	node->driver.emit = emit;
+	node->driver.decode = decode;
+	node->driver.data = node;
+	node->driver.client.random[0] = (unsigned short)index;
+}
+
+void
+world_init(struct world *world, unsigned int entries, unsigned int hosts)
+{
+	memset(world, 0, sizeof(*world));
+	world->now = 1000 * PLUG_SEC;
+	world->entry_count = entries;
+	world->host_count = hosts;
+	for (unsigned int i = 0; i < hosts; i++) {
+		world->hosts[i] = (struct world_host){
+			.id = 100 + i,
+			.takes_syn = true,
+			.work = 20 * PLUG_MSEC,
+			.slots = 2,
+		};
+		world->listed[i] = true;
+		init_node(world, &world->agent_nodes[i], i);
+		ck_assert_int_eq(plug_track_agent_init(&world->agents[i],
+				     &world->agent_nodes[i].driver, world->now),
+		    PLUG_OK);
+		world_probe(world, i);
+		world_host_return(world, i, 100 + i);
+	}
+	for (unsigned int i = 0; i < entries; i++) {
+		init_node(world, &world->entry_nodes[i], i);
+		ck_assert_int_eq(plug_track_entry_init(&world->entries[i],
+				     &world->entry_nodes[i].driver, WORLD_NEAR),
+		    PLUG_OK);
+		world_adopt(world, i, true);
+	}
+}
+
+void
+world_finish(struct world *world)
+{
+	for (unsigned int i = 0; i < world->entry_count; i++)
+		plug_track_entry_finish(&world->entries[i]);
+	for (unsigned int i = 0; i < world->host_count; i++)
+		plug_track_agent_finish(&world->agents[i]);
+}
+
+void
+world_adopt(struct world *world, unsigned int entry, bool exact)
+{
+	struct plug_config *config =
+	    plug_config_create(world->no_route ? 0 : 1, 1);
+	const struct plug_fleet *old = world->entries[entry].balance.fleet;
+	struct plug_fleet *fleet;
+	unsigned int count = 0;
+
+	config->version = 1;
+	config->idle_timeout = 15 * PLUG_SEC;
+	config->backings[0].id = WORLD_SERVICE;
+	config->backings[0].cold_per_s = world->cold_per_s;
+	if (!world->no_route) {
+		config->routes[0] = (struct plug_route){
+			.target = { WORLD_VIP, WORLD_VIP_PORT },
+			.share_count = 1,
+			.shares = { { WORLD_SERVICE, 1 } },
+		};
+	}
+	plug_config_sort(config);
+	fleet = plug_fleet_create(config, world->host_count);
+	plug_config_release(config);
+	for (unsigned int i = 0; i < world->host_count; i++) {
+		if (!world->listed[i])
+			continue;
+		fleet->hosts[count++] = (struct plug_fleet_host){
+			.id = world->hosts[i].id,
+			.name = "host",
+			.address = AGENT_ADDRESS + i,
+			.service = WORLD_SERVICE,
+			.domain = i < 3 ? WORLD_NEAR : WORLD_FAR,
+			.slots = world->hosts[i].slots,
+			.draining = world->draining[i],
+			.cold_until = world->cold_until[i],
+		};
+	}
+	fleet->host_count = count;
+	fleet->listed = exact ? world->now : old == NULL ? 0 : old->listed;
+	fleet->trusted = !world->untrusted;
+	fleet->revision = 1;
+	if (world->far_out)
+		fleet->out[fleet->out_count++] = WORLD_FAR;
+	plug_fleet_sort(fleet);
+	plug_track_entry_adopt(&world->entries[entry], world->now, fleet);
+}
+
+void
+world_adopt_all(struct world *world, bool exact)
+{
+	for (unsigned int i = 0; i < world->entry_count; i++)
+		world_adopt(world, i, exact);
+}
+
+void
+world_restart_entry(struct world *world, unsigned int entry)
+{
+	plug_track_entry_finish(&world->entries[entry]);
+	ck_assert_int_eq(plug_track_entry_init(&world->entries[entry],
+			     &world->entry_nodes[entry].driver, WORLD_NEAR),
+	    PLUG_OK);
+	world_adopt(world, entry, true);
+}
+
+void
+world_restart_agent(struct world *world, unsigned int agent)
+{
+	plug_track_agent_finish(&world->agents[agent]);
+	ck_assert_int_eq(plug_track_agent_init(&world->agents[agent],
+			     &world->agent_nodes[agent].driver, world->now),
+	    PLUG_OK);
+	world_probe(world, agent);
+}
+
+/* What the agent's health check finds. */
+void
+world_probe(struct world *world, unsigned int host)
+{
+	const struct world_host *h = &world->hosts[host];
+
+	plug_track_agent_host(&world->agents[host], world->now,
+	    h->listening ? PLUG_HOST_UP : PLUG_HOST_REFUSING, h->id, false);
+}
+
+void
+world_host_crash(struct world *world, unsigned int host)
+{
+	struct world_host *h = &world->hosts[host];
+
+	h->alive = false;
+	h->listening = false;
+	h->busy = 0;
+	h->queued = 0;
+	memset(h->holds, 0, sizeof(h->holds));
+	memset(h->answers, 0, sizeof(h->answers));
+	world_probe(world, host);
+}
+
+void
+world_host_return(struct world *world, unsigned int host, uint64_t id)
+{
+	struct world_host *h = &world->hosts[host];
+
+	h->alive = true;
+	h->listening = true;
+	h->id = id;
+	world_probe(world, host);
+}
+
+static void
+host_sends(struct world *world, unsigned int host, uint16_t port,
+    unsigned int flags, uint32_t seq, uint32_t len)
+{
+	const struct header header = {
+		.tuple = { .client = 1,
+		    .service = WORLD_VIP,
+		    .client_port = port,
+		    .service_port = WORLD_VIP_PORT },
+		.flags = flags,
+		.seq = seq,
+		.len = len,
+	};
+
+	post_segment(world, FROM_HOST, host, host, &header, 10);
+}
+
+static void
+start_work(struct world *world, unsigned int host)
+{
+	struct world_host *h = &world->hosts[host];
+
+	while (h->queued > 0 && h->busy < h->slots) {
+		uint16_t port = h->queue[0];
+
+		h->queued--;
+		memmove(
+		    h->queue, h->queue + 1, h->queued * sizeof(h->queue[0]));
+		h->busy++;
+		post(
+		    world, WORK_DONE, host, host, &port, sizeof(port), h->work);
+	}
+}
+
+/* The sequence number of a host's SYN+ACK; those of two hosts differ much. */
+static uint32_t
+seq_of(unsigned int host)
+{
+	return 1000000U * (host + 1);
+}
+
+static void
+host_gets(struct world *world, unsigned int host, const struct header *header)
+{
+	struct world_host *h = &world->hosts[host];
+	uint16_t port = header->tuple.client_port;
+	struct header back = *header;
+	bool opens = header->flags == PLUG_SEGMENT_SYN;
+
+	if (!h->alive)
+		return;
+	if (opens)
+		h->syns++;
+	if (opens && h->takes_syn) {
+		h->answers[port] = true;
+		host_sends(world, host, port,
+		    PLUG_SEGMENT_SYN | PLUG_SEGMENT_ACK, seq_of(host), 0);
+		return;
+	}
+	if (!opens && h->answers[port] && !h->holds[port] &&
+	    header->ack - seq_of(host) < 1000)
+		h->holds[port] = true;
+	if (!h->holds[port]) {
+		if (!opens)
+			h->strange++;
+		back.flags |= PLUG_SEGMENT_BOUNCED;
+		post_segment(world, FROM_HOST, host, host, &back, 10);
+		return;
+	}
+	if (header->len == 0)
+		return;
+	if (header->seq == h->seqs[port]) {
+		host_sends(world, host, port, PLUG_SEGMENT_ACK, 1, 0);
+		return;
+	}
+	h->seqs[port] = header->seq;
+	h->queue[h->queued++] = port;
+	if (h->queued + h->busy > h->most)
+		h->most = h->queued + h->busy;
+	start_work(world, host);
+}
+
+static void
+client_gets(struct world *world, int kind, const struct header *header)
+{
+	struct world_client *client =
+	    &world->clients[header->tuple.client_port];
+
+	if (kind == RESET_CLIENT) {
+		client->resets++;
+		if (client->reset_at == 0)
+			client->reset_at = world->now;
+		return;
+	}
+	if ((header->flags & PLUG_SEGMENT_SYN) != 0) {
+		if (client->accepts++ == 0)
+			client->host_seq = header->seq;
+	} else if (header->len > 0) {
+		client->answers++;
+		client->answered_at = world->now;
+	}
+}
+
+static void
+deliver_notice(struct world *world, const struct world_message *message)
+{
+	Plug__TrackNotice *notice =
+	    plug__track_notice__unpack(NULL, message->len, message->bytes);
+
+	ck_assert_ptr_nonnull(notice);
+	if (message->kind == NOTICE_TO_ENTRY)
+		plug_track_entry_notice(&world->entries[message->to],
+		    world->now, message->from, notice);
+	else if (world->agent_nodes[message->to].up)
+		plug_track_agent_notice(&world->agents[message->to], world->now,
+		    message->from, notice);
+	plug__track_notice__free_unpacked(notice, NULL);
+}
+
+static void
+deliver(struct world *world, const struct world_message *message)
+{
+	const struct plug_str bytes = { (const char *)message->bytes,
+		message->len };
+	struct plug_segment segment;
+	struct header header;
+	uint16_t port;
+
+	if (message->kind == NOTICE_TO_ENTRY ||
+	    message->kind == NOTICE_TO_AGENT) {
+		deliver_notice(world, message);
+		return;
+	}
+	if (message->kind == WORK_DONE) {
+		memcpy(&port, message->bytes, sizeof(port));
+		if (world->hosts[message->to].busy == 0)
+			return;
+		world->hosts[message->to].busy--;
+		host_sends(world, message->to, port, PLUG_SEGMENT_ACK, 1, 600);
+		start_work(world, message->to);
+		return;
+	}
+	ck_assert(decode(NULL, bytes, &segment));
+	memcpy(&header, message->bytes, sizeof(header));
+	switch (message->kind) {
+	case TO_ENTRY:
+		plug_track_entry_segment(
+		    &world->entries[message->to], world->now, &segment);
+		return;
+	case TO_AGENT:
+		if (world->agent_nodes[message->to].up)
+			plug_track_agent_forwarded(&world->agents[message->to],
+			    world->now, message->from, &segment);
+		return;
+	case TO_HOST:
+		host_gets(world, message->to, &header);
+		return;
+	case FROM_HOST:
+		if (world->agent_nodes[message->to].up)
+			plug_track_agent_returned(
+			    &world->agents[message->to], world->now, &segment);
+		return;
+	default:
+		client_gets(world, message->kind, &header);
+		return;
+	}
+}
+
+static void
+tick_all(struct world *world)
+{
+	for (unsigned int i = 0; i < world->entry_count; i++)
+		(void)plug_track_entry_tick(&world->entries[i], world->now);
+	for (unsigned int i = 0; i < world->host_count; i++) {
+		if (world->agent_nodes[i].up)
+			(void)plug_track_agent_tick(
+			    &world->agents[i], world->now);
+	}
+}
+
+void
+world_run(struct world *world, plug_time time)
+{
+	plug_time end = world->now + time;
+
+	while (world->now < end) {
+		plug_time next = world->now + STEP;
+
+		while (world->count > 0 && world->messages[0].at < next) {
+			struct world_message message = world->messages[0];
+
+			world->count--;
+			memmove(world->messages, world->messages + 1,
+			    world->count * sizeof(message));
+			if (message.at > world->now)
+				world->now = message.at;
+			deliver(world, &message);
+		}
+		world->now = next;
+		tick_all(world);
+	}
+}
+
+static void
+client_sends(struct world *world, unsigned int entry, uint16_t port,
+    unsigned int flags, uint32_t len)
+{
+	const struct header header = {
+		.tuple = { .client = 1,
+		    .service = WORLD_VIP,
+		    .client_port = port,
+		    .service_port = WORLD_VIP_PORT },
+		.flags = flags,
+		.seq = 500 + world->clients[port].seq,
+		.ack = world->clients[port].host_seq,
+		.len = len,
+	};
+
+	post_segment(world, TO_ENTRY, 0, entry, &header, WORLD_CLIENT_RTT / 2);
+}
+
+void
+world_syn(struct world *world, unsigned int entry, uint16_t port)
+{
+	client_sends(world, entry, port, PLUG_SEGMENT_SYN, 0);
+}
+
+void
+world_ack(struct world *world, unsigned int entry, uint16_t port)
+{
+	client_sends(world, entry, port, PLUG_SEGMENT_ACK, 0);
+}
+
+void
+world_data(struct world *world, unsigned int entry, uint16_t port)
+{
+	world->clients[port].seq++;
+	client_sends(world, entry, port, PLUG_SEGMENT_ACK, 300);
+}
+
+/* A SYN, and a request that is answered. */
+void
+world_open(struct world *world, unsigned int entry, uint16_t port)
+{
+	world_syn(world, entry, port);
+	world_run(world, 5 * PLUG_MSEC);
+	world_data(world, entry, port);
+	world_run(world, 40 * PLUG_MSEC);
+	ck_assert_uint_eq(world->clients[port].answers, 1);
+}
+
+int
+world_holder(const struct world *world, uint16_t port)
+{
+	for (unsigned int i = 0; i < world->host_count; i++) {
+		if (world->hosts[i].holds[port])
+			return (int)i;
+	}
+	return -1;
+}
+
+unsigned int
+world_strange(const struct world *world)
+{
+	unsigned int sum = 0;
+
+	for (unsigned int i = 0; i < world->host_count; i++)
+		sum += world->hosts[i].strange;
+	return sum;
+}
+
+/* Lists this host alone. */
+void
+world_only(struct world *world, unsigned int host)
+{
+	for (unsigned int i = 0; i < world->host_count; i++)
+		world->listed[i] = i == host;
+	world_adopt_all(world, true);
+}
