Let new flows wait by urgency, for twice their aim at most

SYNs that had waited 150 ms were refused, hosts excluded one after the other, and 1,100 flows reset for want of a host within half a second; entries also sent SYNs to hosts that were still listed beside the ones that had taken their place.

Change: the gate orders by priority and estimates the wait from the time of answers; a flow waits for twice its aim; a place is kept 50 ms for a request that does not come; of two hosts at one address the later one counts; a SYN that failed because of an old host list is tried again with its next copy, and an exact list is read.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "agent.h"
 
@@ -9,14 +10,19 @@
  * is taken for one of an unknown flow. */
 #define CLOSED_TIME (6 * PLUG_SEC)
 
-/* A client sends its request as soon as the handshake is over. A flow whose
- * request hasn't come by then is idle, or another host has it. */
-#define OPENING_TIME (500 * PLUG_MSEC)
+/* A client sends its request as soon as the handshake is over, two ways across
+ * a domain boundary later. When none has come by then, the client has given up
+ * while its SYN waited, or another host has the flow; a place that is kept for
+ * longer keeps out those that still wait. */
+#define PENDING_TIME (50 * PLUG_MSEC)
 
 /* A host returns a segment of an unknown flow at once; what it hasn't returned
  * by then, it holds or has dropped. */
 #define PROBE_TIME (2 * PLUG_SEC)
 
+/* A sample moves the average time of an answer by 1/16 of the difference. */
+#define ANSWER_STEP 16
+
 /* A leaving host closes its port and goes on serving its flows for seconds. One
  * that also answers no segment for this long is dead: a living host answers or
  * returns one within a few milliseconds, and while it works on all requests,
@@ -73,12 +79,6 @@
 	return flow->client_fin && flow->host_fin;
 }
 
-static bool
-is_opening(const struct plug_held_flow *flow)
-{
-	return flow->state == PLUG_HELD_OPENING && !flow->working;
-}
-
 /* Adds or takes a flow's part of the agent's sums; to be called around each
  * change of its state. */
 static void
@@ -90,7 +90,7 @@
 	agent->open += (uint32_t)sign;
 	if (flow->working)
 		agent->running += (uint32_t)sign;
-	if (is_opening(flow))
+	if (flow->pending)
 		agent->opening += (uint32_t)sign;
 }
 
@@ -103,7 +103,8 @@
 
 static struct plug_held_flow *
 add_flow(struct plug_track_agent *agent, plug_time now,
-    const struct plug_tuple *tuple, enum plug_held_state state, uint32_t entry)
+    const struct plug_tuple *tuple, enum plug_held_state state, uint32_t entry,
+    bool pending)
 {
 	struct plug_held_flow *flow;
 
@@ -115,6 +116,7 @@
 		return NULL;
 	flow->state = state;
 	flow->entry = entry;
+	flow->pending = pending;
 	count_flow(agent, flow, 1);
 	return flow;
 }
@@ -268,8 +270,8 @@
 open_flow(struct plug_track_agent *agent, plug_time now, uint32_t entry,
     const struct plug_segment *segment)
 {
-	if (add_flow(agent, now, &segment->tuple, PLUG_HELD_OPENING, entry) ==
-	    NULL)
+	if (add_flow(agent, now, &segment->tuple, PLUG_HELD_OPENING, entry,
+		true) == NULL)
 		return;
 	agent->counters[PLUG_AGENT_ADMITTED]++;
 	log_flow(
@@ -310,6 +312,26 @@
 	free(waiter);
 }
 
+static void
+expire_pending(struct plug_track_agent *agent, plug_time now)
+{
+	struct plug_conn *conn = agent->flows.newest;
+	uint32_t left = agent->opening;
+
+	for (; conn != NULL && left > 0; conn = conn->older) {
+		struct plug_held_flow *flow = (struct plug_held_flow *)conn;
+
+		if (!flow->pending)
+			continue;
+		left--;
+		if (now - conn->touched < PENDING_TIME)
+			continue;
+		count_flow(agent, flow, -1);
+		flow->pending = false;
+		count_flow(agent, flow, 1);
+	}
+}
+
 static void
 admit_waiters(struct plug_track_agent *agent, plug_time now)
 {
@@ -402,8 +424,12 @@
 		flow->client_fin = true;
 	if ((segment->flags & PLUG_SEGMENT_ACK) != 0)
 		flow->ack = segment->ack;
-	if (segment->len > 0 && !flow->client_fin)
+	if (segment->len > 0 && !flow->client_fin) {
+		if (!flow->working)
+			flow->asked = now;
 		flow->working = true;
+		flow->pending = false;
+	}
 	count_flow(agent, flow, 1);
 	plug_conntable_touch(&agent->flows, &flow->conn, now);
 	hand_to_host(agent, now, segment);
@@ -415,8 +441,8 @@
 probe(struct plug_track_agent *agent, plug_time now, uint32_t entry,
     const struct plug_segment *segment)
 {
-	struct plug_held_flow *flow =
-	    add_flow(agent, now, &segment->tuple, PLUG_HELD_PROBED, entry);
+	struct plug_held_flow *flow = add_flow(
+	    agent, now, &segment->tuple, PLUG_HELD_PROBED, entry, false);
 
 	if (flow == NULL)
 		return;
@@ -483,6 +509,16 @@
 		    &original);
 }
 
+static void
+sample_answer(struct plug_track_agent *agent, plug_time sample)
+{
+	if (agent->answer_time == 0)
+		agent->answer_time = sample;
+	else
+		agent->answer_time +=
+		    (sample - agent->answer_time) / ANSWER_STEP;
+}
+
 static void
 host_sent(struct plug_track_agent *agent, plug_time now,
     struct plug_held_flow *flow, const struct plug_segment *segment)
@@ -496,8 +532,10 @@
 	} else {
 		flow->state = PLUG_HELD_OPEN;
 	}
-	if (segment->len > 0)
+	if (segment->len > 0 && flow->working) {
 		flow->working = false;
+		sample_answer(agent, now - flow->asked);
+	}
 	if ((segment->flags & PLUG_SEGMENT_FIN) != 0) {
 		flow->host_fin = true;
 		flow->working = false;
@@ -534,14 +572,33 @@
 	flow = plug_conntable_find(&agent->flows, &segment->tuple);
 	if (flow == NULL &&
 	    (segment->flags & (PLUG_SEGMENT_RST | PLUG_SEGMENT_FIN)) == 0)
-		flow =
-		    add_flow(agent, now, &segment->tuple, PLUG_HELD_OPENING, 0);
+		flow = add_flow(
+		    agent, now, &segment->tuple, PLUG_HELD_OPENING, 0, false);
 	if (flow == NULL)
 		return;
 	host_sent(agent, now, flow, segment);
 	admit_waiters(agent, now);
 }
 
+static bool
+wait_at_gate(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Open *open, const struct plug_segment *segment)
+{
+	struct plug_gate_waiter waiter = {
+		.tuple = segment->tuple,
+		.entry = from,
+		.host = open->host,
+		.deadline = now + open->wait_ms * PLUG_MSEC,
+		.priority = open->priority,
+		.len = segment->bytes.len,
+	};
+
+	if (segment->bytes.len > sizeof(waiter.bytes))
+		return false;
+	memcpy(waiter.bytes, segment->bytes.data, segment->bytes.len);
+	return plug_gate_wait(&agent->gate, now, &waiter, agent->answer_time);
+}
+
 static void
 handle_open(struct plug_track_agent *agent, plug_time now, uint32_t from,
     const Plug__Open *open)
@@ -581,7 +638,7 @@
 		return;
 	}
 	agent->counters[PLUG_AGENT_QUEUED]++;
-	if (!plug_gate_wait(&agent->gate, now, from, open->host, &segment))
+	if (!wait_at_gate(agent, now, from, open, &segment))
 		send_refused(agent, from, open->host, &segment,
 		    PLUG__REFUSAL_REASON__BUSY);
 }
@@ -687,17 +744,12 @@
 {
 	struct plug_conn *conn = agent->flows.oldest;
 
-	while (conn != NULL && now - conn->touched > OPENING_TIME) {
+	while (conn != NULL && now - conn->touched > PROBE_TIME) {
 		struct plug_held_flow *flow = (struct plug_held_flow *)conn;
 
 		conn = conn->newer;
 		if (now - flow->conn.touched > lifetime(agent, flow)) {
 			remove_flow(agent, flow);
-		} else if (is_opening(flow) && flow->answered) {
-			/* An idle flow, or one that another host has. */
-			count_flow(agent, flow, -1);
-			flow->state = PLUG_HELD_PROBED;
-			count_flow(agent, flow, 1);
 		}
 	}
 }
@@ -762,6 +814,7 @@
 	plug_time next;
 
 	check_host(agent, now);
+	expire_pending(agent, now);
 	admit_waiters(agent, now);
 	next = report(agent, now);
 	if (now >= agent->next_sweep) {
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -26,7 +26,9 @@
  * @state: see enum plug_held_state
  * @entry: address of the entry that sent its last segment
  * @answered: the host has sent its SYN+ACK
+ * @pending: its first request hasn't come yet, and is expected
  * @working: a request is at work
+ * @asked: time when it came
  * @client_fin: the client has closed its side
  * @host_fin: the host has closed its side
  * @host_seq: sequence number of the host's SYN+ACK
@@ -37,7 +39,9 @@
 	enum plug_held_state state;
 	uint32_t entry;
 	bool answered;
+	bool pending;
 	bool working;
+	plug_time asked;
 	bool client_fin;
 	bool host_fin;
 	uint32_t host_seq;
@@ -85,7 +89,8 @@
  * @flows: flows by tuple
  * @open: flows that are open or opening
  * @running: requests at work
- * @opening: flows that wait for the host's SYN+ACK
+ * @opening: flows whose first request is expected
+ * @answer_time: average time from a request to its answer; 0 if unknown
  * @gate: admission of new flows
  * @reported: entries that get reports
  * @next_sweep: time when old flows are looked for again
@@ -104,6 +109,7 @@
 	uint32_t open;
 	uint32_t running;
 	uint32_t opening;
+	plug_time answer_time;
 	struct plug_gate gate;
 	struct plug_reported reported[PLUG_REPORTED_MAX];
 	plug_time next_sweep;
--- a/libplantainlug/track/balance.c
+++ b/libplantainlug/track/balance.c
@@ -171,6 +171,7 @@
 	const struct plug_target *target = &balance->targets[index];
 
 	return host->service == service && !host->draining &&
+	       !host->superseded &&
 	       !plug_fleet_is_out(balance->fleet, host->domain) &&
 	       !is_excluded(excluded, host->id) && target->accepting &&
 	       now >= target->avoid_until && !plug_target_silent(target, now);
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -12,6 +12,7 @@
 /* Copies of a SYN come 200 and 600 ms after the first one, and the client
  * gives up after 1.4 s. */
 #define OPENING_TIME (2 * PLUG_SEC)
+#define LAST_COPY    (550 * PLUG_MSEC)
 
 /* Late segments of a flow that has ended are answered by a reset this long. */
 #define ENDED_TIME PLUG_SEC
@@ -24,6 +25,12 @@
 #define IDLE_DEFAULT (20 * PLUG_SEC)
 #define IDLE_SLACK   (5 * PLUG_SEC)
 
+/* A new flow may wait for a host for this many times its aim: its answer is
+ * then late, but of use. Clients give up after 4 to 6 times the aim; a queue in
+ * which they have given up is worked off in vain and never becomes short again.
+ */
+#define WAIT_AIMS 2
+
 #define LOOKUP_TICK (10 * PLUG_MSEC)  /* while a lookup is in progress */
 #define IDLE_TICK   (500 * PLUG_MSEC) /* else */
 
@@ -136,8 +143,10 @@
 
 static void
 send_open(struct plug_track_entry *entry, plug_time now,
-    const struct plug_fleet_host *host, const struct plug_segment *segment)
+    const struct plug_entry_flow *flow, const struct plug_fleet_host *host,
+    const struct plug_route *route, const struct plug_segment *segment)
 {
+	plug_time left = flow->started + WAIT_AIMS * route->aim - now;
 	const struct plug_backing *backing =
 	    plug_config_backing(entry->balance.fleet->config, host->service);
 	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
@@ -149,6 +158,8 @@
 		open.cold_milli_per_s =
 		    (uint32_t)(backing->cold_per_s * 1000.0);
 	open.slots = host->slots;
+	open.wait_ms = left > 0 ? (uint32_t)(left / PLUG_MSEC) : 0;
+	open.priority = route->priority;
 	open.segment = plug_track_bytes(segment->bytes);
 	notice.body_case = PLUG__TRACK_NOTICE__BODY_OPEN;
 	notice.open = &open;
@@ -156,19 +167,41 @@
 	plug_track_notify(entry->driver, host->address, &notice);
 }
 
-/* Sends a SYN to the best host; resets the flow when there is none, so that the
- * client knows at once. */
+/* No host can take the SYN now. When that may change before the client gives
+ * up, its next copy is tried; else it is told at once. */
+static void
+give_up(struct plug_track_entry *entry, plug_time now,
+    struct plug_entry_flow *flow, const char *reason)
+{
+	static const struct plug_track_action refresh = {
+		.kind = PLUG_TRACK_REFRESH,
+	};
+
+	entry->counters[PLUG_ENTRY_NO_HOST]++;
+	if (!flow->retry || now - flow->started >= LAST_COPY) {
+		end_flow(entry, now, flow, 0, reason);
+		return;
+	}
+	log_flow(entry, PLUG_LOG_INFO, "flow_postponed", flow, reason);
+	flow->state = PLUG_ENTRY_OPENING;
+	flow->agent = 0;
+	flow->retry = false;
+	flow->excluded.count = 0;
+	plug_track_emit(entry->driver, &refresh);
+}
+
+/* Sends a SYN to the best host. */
 static void
 place(struct plug_track_entry *entry, plug_time now,
     struct plug_entry_flow *flow, const struct plug_segment *segment,
-    uint64_t service, const char *reason)
+    const struct plug_route *route, const char *reason)
 {
 	const struct plug_fleet_host *host = plug_balance_choose(
-	    &entry->balance, now, service, entry->domain, &flow->excluded);
+	    &entry->balance, now, plug_route_service(route, &segment->tuple),
+	    entry->domain, &flow->excluded);
 
 	if (host == NULL) {
-		entry->counters[PLUG_ENTRY_NO_HOST]++;
-		end_flow(entry, now, flow, 0, "no_host");
+		give_up(entry, now, flow, "no_host");
 		return;
 	}
 	flow->state = PLUG_ENTRY_OPENING;
@@ -176,7 +209,7 @@
 	flow->host = host->id;
 	entry->counters[PLUG_ENTRY_OPENED]++;
 	log_flow(entry, PLUG_LOG_DEBUG, "flow_placed", flow, reason);
-	send_open(entry, now, host, segment);
+	send_open(entry, now, flow, host, route, segment);
 }
 
 static const struct plug_route *
@@ -192,7 +225,7 @@
 static void
 open_again(struct plug_track_entry *entry, plug_time now,
     struct plug_entry_flow *flow, const struct plug_segment *segment,
-    uint64_t service)
+    const struct plug_route *route)
 {
 	const struct plug_fleet_host *host =
 	    plug_fleet_host(entry->balance.fleet, flow->host);
@@ -203,10 +236,11 @@
 	    plug_fleet_is_out(entry->balance.fleet, host->domain) ||
 	    plug_target_silent(target, now)) {
 		entry->counters[PLUG_ENTRY_REPLACED]++;
-		place(entry, now, flow, segment, service, "host_silent");
+		flow->retry = true;
+		place(entry, now, flow, segment, route, "host_silent");
 		return;
 	}
-	send_open(entry, now, host, segment);
+	send_open(entry, now, flow, host, route, segment);
 }
 
 static void
@@ -214,7 +248,6 @@
     struct plug_entry_flow *flow, const struct plug_segment *segment)
 {
 	const struct plug_route *route = route_of(entry, &segment->tuple);
-	uint64_t service;
 
 	if (flow != NULL && flow->state == PLUG_ENTRY_OPEN) {
 		plug_track_segment(
@@ -234,11 +267,10 @@
 		end_flow(entry, now, flow, 0, "no_route");
 		return;
 	}
-	service = plug_route_service(route, &segment->tuple);
 	if (flow->agent == 0)
-		place(entry, now, flow, segment, service, "new");
+		place(entry, now, flow, segment, route, "new");
 	else
-		open_again(entry, now, flow, segment, service);
+		open_again(entry, now, flow, segment, route);
 }
 
 /* The host has got the first segment already if it was asked by it. */
@@ -285,8 +317,8 @@
 		return;
 	case PLUG_LOOKUP_UNDECIDED:
 		entry->counters[PLUG_ENTRY_UNDECIDED]++;
-		log_flow(
-		    entry, PLUG_LOG_INFO, "lookup_undecided", flow, "silence");
+		log_flow(entry, PLUG_LOG_INFO, "lookup_undecided", flow,
+		    flow->lookup->owed ? "silence" : "nothing_asked");
 		forget(entry, flow);
 		return;
 	}
@@ -429,8 +461,9 @@
 		return;
 	}
 	entry->counters[PLUG_ENTRY_REPLACED]++;
-	place(entry, now, flow, &segment,
-	    plug_route_service(route, &segment.tuple), "refused");
+	if (refused->reason == PLUG__REFUSAL_REASON__OTHER_HOST)
+		flow->retry = true;
+	place(entry, now, flow, &segment, route, "refused");
 }
 
 static void
--- a/libplantainlug/track/fleet.c
+++ b/libplantainlug/track/fleet.c
@@ -228,13 +228,37 @@
 	return x->id < y->id ? -1 : 1;
 }
 
+static int
+compare_starts(const void *a, const void *b)
+{
+	const struct plug_fleet_host *x = a, *y = b;
+
+	if (x->address != y->address)
+		return x->address < y->address ? -1 : 1;
+	if (x->born != y->born)
+		return x->born < y->born ? -1 : 1;
+	return 0;
+}
+
 /**
- * plug_fleet_sort() - put the hosts in order
- * @fleet: snapshot that no other thread has yet
+ * plug_fleet_complete() - put the hosts in order and compare their starts
+ * @fleet: snapshot that no other thread has yet; its hosts are filled in
+ *
+ * A host that has died without a word stays listed for seconds, beside the one
+ * that has taken its place.
  */
 void
-plug_fleet_sort(struct plug_fleet *fleet)
+plug_fleet_complete(struct plug_fleet *fleet)
 {
+	qsort(fleet->hosts, fleet->host_count, sizeof(*fleet->hosts),
+	    compare_starts);
+	for (unsigned int i = 0; i + 1 < fleet->host_count; i++) {
+		const struct plug_fleet_host *next = &fleet->hosts[i + 1];
+
+		fleet->hosts[i].superseded =
+		    fleet->hosts[i].address == next->address &&
+		    fleet->hosts[i].born < next->born;
+	}
 	qsort(fleet->hosts, fleet->host_count, sizeof(*fleet->hosts),
 	    compare_hosts);
 }
--- a/libplantainlug/track/fleet.h
+++ b/libplantainlug/track/fleet.h
@@ -23,12 +23,16 @@
 /**
  * struct plug_route - where the flows of one service address go
  * @target: address and port that clients name
+ * @aim: time within which clients want an answer
+ * @priority: of its requests, 0 is highest
  * @share_count: length of @shares
  * @weight_sum: sum of the weights; 0 when nothing may be sent
  * @shares: services of the route
  */
 struct plug_route {
 	struct plug_endpoint target;
+	plug_time aim;
+	uint32_t priority;
 	unsigned int share_count;
 	uint32_t weight_sum;
 	struct plug_route_share shares[PLUG_ROUTE_SHARES_MAX];
@@ -80,6 +84,7 @@
  * @domain: hash of its failure domain's name
  * @slots: requests that it runs at a time, at least 1
  * @draining: it is leaving
+ * @superseded: a host that started later is listed at the same address
  * @cold_until: it bears little until this time; 0 when warm
  * @born: start of this incarnation, milliseconds since 1970; 0 if not known
  */
@@ -91,6 +96,7 @@
 	uint32_t domain;
 	uint32_t slots;
 	bool draining;
+	bool superseded;
 	plug_time cold_until;
 	uint64_t born;
 };
@@ -137,7 +143,7 @@
 plug_fleet_create(struct plug_config *config, unsigned int host_count);
 struct plug_fleet *plug_fleet_reference(struct plug_fleet *fleet);
 void plug_fleet_release(struct plug_fleet *fleet);
-void plug_fleet_sort(struct plug_fleet *fleet);
+void plug_fleet_complete(struct plug_fleet *fleet);
 const struct plug_fleet_host *
 plug_fleet_host(const struct plug_fleet *fleet, uint64_t id);
 bool plug_fleet_is_out(const struct plug_fleet *fleet, uint32_t domain);
--- a/libplantainlug/track/gate.c
+++ b/libplantainlug/track/gate.c
@@ -6,19 +6,13 @@
 /*
  * New flows are admitted while the host has less than this much work for each
  * slot. A flow begins with a request, so when very many clients open flows at
- * once, as after a restart of all hosts, they wait here, in order, instead of
- * overflowing the host's own queue.
+ * once, as after a restart of all hosts, they wait here, the urgent ones first,
+ * instead of overflowing the host's own queue. One request per slot waits at
+ * the host, so that no slot is idle while the agent admits the next one.
  */
-#define WORK_PER_SLOT 3
+#define WORK_PER_SLOT 2
 
-/* Segments that may wait for each slot; a longer queue is not served in time.
- */
-#define WAITERS_PER_SLOT 8
-#define WAITERS_MIN	 16
-
-/* A segment that has waited this long is refused: its client's objective of
- * 100 to 300 ms is nearly used up, and another host may be free. */
-#define WAIT_TIME (150 * PLUG_MSEC)
+#define WAITERS_MAX 2000 /* 3 MB; as many flows as a host holds */
 
 /* A cold host may get this many flows at once. With the rate it stays below the
  * bound for any one second, which allows 1.5 times the rate and 5 more. */
@@ -101,51 +95,56 @@
 	return true;
 }
 
+/* Whether a segment would be admitted before it is of no use any more. */
+static bool
+is_worth_waiting(const struct plug_gate *gate, plug_time now,
+    const struct plug_gate_waiter *waiter, plug_time answer_time)
+{
+	unsigned int ahead = 1, at_work = gate->slots * WORK_PER_SLOT;
+
+	for (const struct plug_gate_waiter *w = gate->first;
+	     w != NULL && w->priority <= waiter->priority; w = w->next)
+		ahead++;
+	return now + answer_time * (ahead / at_work + 1) < waiter->deadline;
+}
+
 /**
  * plug_gate_wait() - let an opening segment wait
  * @gate: gate
  * @now: time
- * @entry: address of the entry that sent it
- * @host: hash of the instance id of the host that it is meant for
- * @segment: segment; a copy of one that waits already is dropped
+ * @waiter: segment; copied. A copy of one that waits already is dropped
+ * @answer_time: average time of an answer while the host is full
  *
- * Return: false when the queue is full.
+ * Return: false when it would not be admitted in time.
  */
 bool
-plug_gate_wait(struct plug_gate *gate, plug_time now, uint32_t entry,
-    uint64_t host, const struct plug_segment *segment)
+plug_gate_wait(struct plug_gate *gate, plug_time now,
+    const struct plug_gate_waiter *waiter, plug_time answer_time)
 {
-	struct plug_gate_waiter *waiter;
-	unsigned int limit = gate->slots * WAITERS_PER_SLOT;
+	struct plug_gate_waiter **link = &gate->first;
+	struct plug_gate_waiter *copy;
 
-	for (waiter = gate->first; waiter != NULL; waiter = waiter->next) {
-		if (plug_tuple_equal(&waiter->tuple, &segment->tuple))
+	for (copy = gate->first; copy != NULL; copy = copy->next) {
+		if (plug_tuple_equal(&copy->tuple, &waiter->tuple))
 			return true;
 	}
-	if (gate->waiting >= (limit < WAITERS_MIN ? WAITERS_MIN : limit) ||
-	    segment->bytes.len > PLUG_SEGMENT_MAX)
+	if (gate->waiting >= WAITERS_MAX ||
+	    !is_worth_waiting(gate, now, waiter, answer_time))
 		return false;
-	waiter = malloc(sizeof(*waiter));
-	if (waiter == NULL)
+	copy = malloc(sizeof(*copy));
+	if (copy == NULL)
 		return false;
-	waiter->next = NULL;
-	waiter->tuple = segment->tuple;
-	waiter->entry = entry;
-	waiter->host = host;
-	waiter->arrived = now;
-	waiter->len = segment->bytes.len;
-	memcpy(waiter->bytes, segment->bytes.data, segment->bytes.len);
-	if (gate->last != NULL)
-		gate->last->next = waiter;
-	else
-		gate->first = waiter;
-	gate->last = waiter;
+	*copy = *waiter;
+	while (*link != NULL && (*link)->priority <= copy->priority)
+		link = &(*link)->next;
+	copy->next = *link;
+	*link = copy;
 	gate->waiting++;
 	return true;
 }
 
 /**
- * plug_gate_take() - take the segment that has waited longest
+ * plug_gate_take() - take the segment that is admitted next
  * @gate: gate
  *
  * Return: segment for free(3), or NULL.
@@ -158,19 +157,17 @@
 	if (waiter == NULL)
 		return NULL;
 	gate->first = waiter->next;
-	if (gate->first == NULL)
-		gate->last = NULL;
 	gate->waiting--;
 	return waiter;
 }
 
 /**
- * plug_gate_expired() - whether the first segment has waited too long
+ * plug_gate_expired() - whether the next segment is of no use any more
  * @gate: gate
  * @now: time
  */
 bool
 plug_gate_expired(const struct plug_gate *gate, plug_time now)
 {
-	return gate->first != NULL && now - gate->first->arrived >= WAIT_TIME;
+	return gate->first != NULL && now >= gate->first->deadline;
 }
--- a/libplantainlug/track/gate.h
+++ b/libplantainlug/track/gate.h
@@ -9,7 +9,8 @@
  * @tuple: flow
  * @entry: address of the entry that sent it
  * @host: hash of the instance id of the host that it is meant for
- * @arrived: time of its arrival
+ * @deadline: it is of no use to its client after this time
+ * @priority: 0 is admitted first
  * @len: length of @bytes
  * @bytes: segment
  */
@@ -18,7 +19,8 @@
 	struct plug_tuple tuple;
 	uint32_t entry;
 	uint64_t host;
-	plug_time arrived;
+	plug_time deadline;
+	uint32_t priority;
 	size_t len;
 	uint8_t bytes[PLUG_SEGMENT_MAX];
 };
@@ -30,8 +32,7 @@
  * @cold_per_s: requests a second that it bears while it is cold; 0 for no limit
  * @tokens: flows that a cold host may be sent now
  * @filled: time when @tokens was last filled
- * @first: segment that has waited longest
- * @last: segment that came last
+ * @first: segment that is admitted next
  * @waiting: segments that wait
  */
 struct plug_gate {
@@ -41,7 +42,6 @@
 	double tokens;
 	plug_time filled;
 	struct plug_gate_waiter *first;
-	struct plug_gate_waiter *last;
 	unsigned int waiting;
 };
 
@@ -50,8 +50,8 @@
 void plug_gate_configure(struct plug_gate *gate, plug_time now, uint32_t slots,
     double cold_per_s, plug_time cold_until);
 bool plug_gate_admit(struct plug_gate *gate, plug_time now, uint32_t work);
-bool plug_gate_wait(struct plug_gate *gate, plug_time now, uint32_t entry,
-    uint64_t host, const struct plug_segment *segment);
+bool plug_gate_wait(struct plug_gate *gate, plug_time now,
+    const struct plug_gate_waiter *waiter, plug_time answer_time);
 struct plug_gate_waiter *plug_gate_take(struct plug_gate *gate);
 bool plug_gate_expired(const struct plug_gate *gate, plug_time now);
 
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -223,7 +223,7 @@
 		return;
 	memcpy(fleet->hosts, reader->known,
 	    reader->known_count * sizeof(*fleet->hosts));
-	plug_fleet_sort(fleet);
+	plug_fleet_complete(fleet);
 	fleet->revision = reader->known_revision;
 	fleet->listed = reader->exact_at;
 	fleet->trusted =
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -444,7 +444,7 @@
   (ProtobufCMessageInit) plug__tuple__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__open__field_descriptors[5] =
+static const ProtobufCFieldDescriptor plug__open__field_descriptors[7] =
 {
   {
     "host",
@@ -506,18 +506,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Open, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Open, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__open__field_indices_by_name[] = {
   2,   /* field[2] = cold_milli_per_s */
   1,   /* field[1] = cold_ms */
   0,   /* field[0] = host */
+  6,   /* field[6] = priority */
   3,   /* field[3] = segment */
   4,   /* field[4] = slots */
+  5,   /* field[5] = wait_ms */
 };
 static const ProtobufCIntRange plug__open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor plug__open__descriptor =
 {
@@ -527,7 +553,7 @@
   "Plug__Open",
   "plug",
   sizeof(Plug__Open),
-  5,
+  7,
   plug__open__field_descriptors,
   plug__open__field_indices_by_name,
   1,  plug__open__number_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -92,10 +92,18 @@
   uint32_t cold_milli_per_s;
   ProtobufCBinaryData segment;
   uint32_t slots;
+  /*
+   * it is of no use to the client after this time
+   */
+  uint32_t wait_ms;
+  /*
+   * 0 is served first
+   */
+  uint32_t priority;
 };
 #define PLUG__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__open__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0 }
+    , 0, 0, 0, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -224,6 +224,7 @@
 	if (!world->no_route) {
 		config->routes[0] = (struct plug_route){
 			.target = { WORLD_VIP, WORLD_VIP_PORT },
+			.aim = 150 * PLUG_MSEC,
 			.share_count = 1,
 			.shares = { { WORLD_SERVICE, 1 } },
 		};
@@ -251,7 +252,7 @@
 	fleet->revision = 1;
 	if (world->far_out)
 		fleet->out[fleet->out_count++] = WORLD_FAR;
-	plug_fleet_sort(fleet);
+	plug_fleet_complete(fleet);
 	plug_track_entry_adopt(&world->entries[entry], world->now, fleet);
 }
 
