Admit the newest flow once the oldest would be late anyway

Change: within a priority the oldest flow is admitted first until it has waited for its aim, then the newest one. Answer times go into a histogram.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -20,8 +20,8 @@
  * by then, it holds or has dropped. */
 #define PROBE_TIME (2 * PLUG_SEC)
 
-/* A sample moves the average time of an answer by 1/16 of the difference. */
-#define ANSWER_STEP 16
+/* Entries let a flow wait for twice the time in which its answer is in time. */
+#define WAIT_PATIENCE 2
 
 /* A leaving host closes its port and goes on serving its flows for seconds. One
  * that also answers no segment for this long is dead: a living host answers or
@@ -299,17 +299,47 @@
 			       : PLUG__REFUSAL_REASON__UNSPECIFIED;
 }
 
-static void
-refuse_waiter(struct plug_track_agent *agent, Plug__RefusalReason reason)
+struct refusal {
+	const struct plug_track_agent *agent;
+	plug_time now;
+	Plug__RefusalReason reason;
+};
+
+static bool
+is_refused(void *data, const struct plug_gate_waiter *waiter)
 {
-	struct plug_gate_waiter *waiter = plug_gate_take(&agent->gate);
-	const struct plug_segment segment = {
+	struct refusal *refused = data;
+
+	refused->reason = refusal(refused->agent, waiter->host);
+	if (refused->reason == PLUG__REFUSAL_REASON__UNSPECIFIED &&
+	    refused->now >= waiter->deadline)
+		refused->reason = PLUG__REFUSAL_REASON__WAITED;
+	return refused->reason != PLUG__REFUSAL_REASON__UNSPECIFIED;
+}
+
+static struct plug_segment
+waiting_segment(const struct plug_gate_waiter *waiter)
+{
+	return (struct plug_segment){
 		.tuple = waiter->tuple,
 		.bytes = { (const char *)waiter->bytes, waiter->len },
 	};
+}
 
-	send_refused(agent, waiter->entry, waiter->host, &segment, reason);
-	free(waiter);
+static void
+refuse_waiters(struct plug_track_agent *agent, plug_time now)
+{
+	struct refusal refused = { .agent = agent, .now = now };
+	struct plug_gate_waiter *waiter;
+
+	while ((waiter = plug_gate_take_if(
+		    &agent->gate, is_refused, &refused)) != NULL) {
+		struct plug_segment segment = waiting_segment(waiter);
+
+		send_refused(agent, waiter->entry, waiter->host, &segment,
+		    refused.reason);
+		free(waiter);
+	}
 }
 
 static void
@@ -335,28 +365,13 @@
 static void
 admit_waiters(struct plug_track_agent *agent, plug_time now)
 {
-	while (agent->gate.first != NULL) {
-		Plug__RefusalReason reason =
-		    refusal(agent, agent->gate.first->host);
-		struct plug_gate_waiter *waiter;
-		struct plug_segment segment;
-
-		if (reason == PLUG__REFUSAL_REASON__UNSPECIFIED &&
-		    plug_gate_expired(&agent->gate, now))
-			reason = PLUG__REFUSAL_REASON__WAITED;
-		if (reason != PLUG__REFUSAL_REASON__UNSPECIFIED) {
-			refuse_waiter(agent, reason);
-			continue;
-		}
-		if (agent->state != PLUG_HOST_UP ||
-		    !plug_gate_admit(
-			&agent->gate, now, agent->running + agent->opening))
-			return;
-		waiter = plug_gate_take(&agent->gate);
-		segment = (struct plug_segment){
-			.tuple = waiter->tuple,
-			.bytes = { (const char *)waiter->bytes, waiter->len },
-		};
+	while (agent->gate.first != NULL && agent->state == PLUG_HOST_UP &&
+	       plug_gate_admit(
+		   &agent->gate, now, agent->running + agent->opening)) {
+		struct plug_gate_waiter *waiter =
+		    plug_gate_take(&agent->gate, now);
+		struct plug_segment segment = waiting_segment(waiter);
+
 		open_flow(agent, now, waiter->entry, &segment);
 		free(waiter);
 	}
@@ -396,6 +411,7 @@
 	}
 	agent->state = state;
 	report_to_all(agent);
+	refuse_waiters(agent, now);
 	admit_waiters(agent, now);
 }
 
@@ -510,13 +526,14 @@
 }
 
 static void
-sample_answer(struct plug_track_agent *agent, plug_time sample)
+count_answer(struct plug_track_agent *agent, plug_time time)
 {
-	if (agent->answer_time == 0)
-		agent->answer_time = sample;
-	else
-		agent->answer_time +=
-		    (sample - agent->answer_time) / ANSWER_STEP;
+	unsigned int bucket = 0;
+
+	while (bucket + 1 < PLUG_ANSWER_BUCKETS && time >= PLUG_ANSWER_FIRST
+							       << bucket)
+		bucket++;
+	agent->answers[bucket]++;
 }
 
 static void
@@ -534,7 +551,7 @@
 	}
 	if (segment->len > 0 && flow->working) {
 		flow->working = false;
-		sample_answer(agent, now - flow->asked);
+		count_answer(agent, now - flow->asked);
 	}
 	if ((segment->flags & PLUG_SEGMENT_FIN) != 0) {
 		flow->host_fin = true;
@@ -588,6 +605,7 @@
 		.tuple = segment->tuple,
 		.entry = from,
 		.host = open->host,
+		.patience = now + open->wait_ms * PLUG_MSEC / WAIT_PATIENCE,
 		.deadline = now + open->wait_ms * PLUG_MSEC,
 		.priority = open->priority,
 		.len = segment->bytes.len,
@@ -596,7 +614,7 @@
 	if (segment->bytes.len > sizeof(waiter.bytes))
 		return false;
 	memcpy(waiter.bytes, segment->bytes.data, segment->bytes.len);
-	return plug_gate_wait(&agent->gate, now, &waiter, agent->answer_time);
+	return plug_gate_wait(&agent->gate, &waiter);
 }
 
 static void
@@ -815,6 +833,7 @@
 
 	check_host(agent, now);
 	expire_pending(agent, now);
+	refuse_waiters(agent, now);
 	admit_waiters(agent, now);
 	next = report(agent, now);
 	if (now >= agent->next_sweep) {
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -5,7 +5,9 @@
 #include "conntable.h"
 #include "gate.h"
 
-#define PLUG_REPORTED_MAX 64 /* entries that get reports */
+#define PLUG_ANSWER_FIRST   PLUG_MSEC /* upper limit of the first bucket */
+#define PLUG_ANSWER_BUCKETS 14	      /* the last one begins at 4 s */
+#define PLUG_REPORTED_MAX   64	      /* entries that get reports */
 
 enum plug_host_state {
 	PLUG_HOST_UNKNOWN, /* not asked yet, or being asked again */
@@ -90,7 +92,8 @@
  * @open: flows that are open or opening
  * @running: requests at work
  * @opening: flows whose first request is expected
- * @answer_time: average time from a request to its answer; 0 if unknown
+ * @answers: requests by the time of their answer: below PLUG_ANSWER_FIRST,
+ * below twice that, and so on; the last bucket has the rest
  * @gate: admission of new flows
  * @reported: entries that get reports
  * @next_sweep: time when old flows are looked for again
@@ -109,7 +112,7 @@
 	uint32_t open;
 	uint32_t running;
 	uint32_t opening;
-	plug_time answer_time;
+	uint64_t answers[PLUG_ANSWER_BUCKETS];
 	struct plug_gate gate;
 	struct plug_reported reported[PLUG_REPORTED_MAX];
 	plug_time next_sweep;
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -435,6 +435,16 @@
 		excluded->ids[excluded->count++] = host;
 }
 
+/* Whether a refusal is likely to meet the next flow, too. A busy host may have
+ * room for a more urgent one, or a moment later. */
+static bool
+is_about_host(Plug__RefusalReason reason)
+{
+	return reason == PLUG__REFUSAL_REASON__OTHER_HOST ||
+	       reason == PLUG__REFUSAL_REASON__DRAINING ||
+	       reason == PLUG__REFUSAL_REASON__BOUNCED;
+}
+
 /* The host didn't take the SYN: another one may. */
 static void
 handle_refused(struct plug_track_entry *entry, plug_time now, uint32_t from,
@@ -444,7 +454,9 @@
 	struct plug_entry_flow *flow;
 	struct plug_segment segment;
 
-	plug_balance_avoid(&entry->balance, refused->host, now + REFUSED_AVOID);
+	if (is_about_host(refused->reason))
+		plug_balance_avoid(
+		    &entry->balance, refused->host, now + REFUSED_AVOID);
 	if (entry->balance.fleet == NULL ||
 	    !plug_track_decode(entry->driver, &refused->segment, &segment))
 		return;
--- a/libplantainlug/track/gate.c
+++ b/libplantainlug/track/gate.c
@@ -12,7 +12,9 @@
  */
 #define WORK_PER_SLOT 2
 
-#define WAITERS_MAX 2000 /* 3 MB; as many flows as a host holds */
+/* Segments that may wait: what the host can begin within the longest wait. */
+#define WAITERS_PER_SLOT 16
+#define WAITERS_MIN	 16
 
 /* A cold host may get this many flows at once. With the rate it stays below the
  * bound for any one second, which allows 1.5 times the rate and 5 more. */
@@ -30,6 +32,18 @@
 	*gate = (struct plug_gate){ .slots = 1, .filled = now };
 }
 
+static struct plug_gate_waiter *
+unlink_waiter(struct plug_gate *gate, struct plug_gate_waiter **link)
+{
+	struct plug_gate_waiter *waiter = *link;
+
+	if (waiter == NULL)
+		return NULL;
+	*link = waiter->next;
+	gate->waiting--;
+	return waiter;
+}
+
 /**
  * plug_gate_finish() - free the segments that wait
  * @gate: gate
@@ -38,7 +52,7 @@
 plug_gate_finish(struct plug_gate *gate)
 {
 	while (gate->first != NULL)
-		free(plug_gate_take(gate));
+		free(unlink_waiter(gate, &gate->first));
 }
 
 /**
@@ -95,31 +109,15 @@
 	return true;
 }
 
-/* Whether a segment would be admitted before it is of no use any more. */
-static bool
-is_worth_waiting(const struct plug_gate *gate, plug_time now,
-    const struct plug_gate_waiter *waiter, plug_time answer_time)
-{
-	unsigned int ahead = 1, at_work = gate->slots * WORK_PER_SLOT;
-
-	for (const struct plug_gate_waiter *w = gate->first;
-	     w != NULL && w->priority <= waiter->priority; w = w->next)
-		ahead++;
-	return now + answer_time * (ahead / at_work + 1) < waiter->deadline;
-}
-
 /**
  * plug_gate_wait() - let an opening segment wait
  * @gate: gate
- * @now: time
  * @waiter: segment; copied. A copy of one that waits already is dropped
- * @answer_time: average time of an answer while the host is full
  *
- * Return: false when it would not be admitted in time.
+ * Return: false when too many wait.
  */
 bool
-plug_gate_wait(struct plug_gate *gate, plug_time now,
-    const struct plug_gate_waiter *waiter, plug_time answer_time)
+plug_gate_wait(struct plug_gate *gate, const struct plug_gate_waiter *waiter)
 {
 	struct plug_gate_waiter **link = &gate->first;
 	struct plug_gate_waiter *copy;
@@ -128,8 +126,7 @@
 		if (plug_tuple_equal(&copy->tuple, &waiter->tuple))
 			return true;
 	}
-	if (gate->waiting >= WAITERS_MAX ||
-	    !is_worth_waiting(gate, now, waiter, answer_time))
+	if (gate->waiting >= gate->slots * WAITERS_PER_SLOT + WAITERS_MIN)
 		return false;
 	copy = malloc(sizeof(*copy));
 	if (copy == NULL)
@@ -146,28 +143,43 @@
 /**
  * plug_gate_take() - take the segment that is admitted next
  * @gate: gate
+ * @now: time
+ *
+ * The most urgent ones come first. Among them it is the oldest one, until that
+ * has waited for too long: then there is more to do than can be done in time,
+ * and the newest one has a client that is certain to wait for it still.
  *
  * Return: segment for free(3), or NULL.
  */
 struct plug_gate_waiter *
-plug_gate_take(struct plug_gate *gate)
+plug_gate_take(struct plug_gate *gate, plug_time now)
 {
-	struct plug_gate_waiter *waiter = gate->first;
+	struct plug_gate_waiter **link = &gate->first;
 
-	if (waiter == NULL)
-		return NULL;
-	gate->first = waiter->next;
-	gate->waiting--;
-	return waiter;
+	if (gate->first == NULL || now < gate->first->patience)
+		return unlink_waiter(gate, link);
+	while ((*link)->next != NULL &&
+	       (*link)->next->priority == gate->first->priority)
+		link = &(*link)->next;
+	return unlink_waiter(gate, link);
 }
 
 /**
- * plug_gate_expired() - whether the next segment is of no use any more
+ * plug_gate_take_if() - take a segment that shall not wait any longer
  * @gate: gate
- * @now: time
+ * @matches: tells whether it is one
+ * @data: first argument of @matches
+ *
+ * Return: segment for free(3), or NULL.
  */
-bool
-plug_gate_expired(const struct plug_gate *gate, plug_time now)
+struct plug_gate_waiter *
+plug_gate_take_if(struct plug_gate *gate,
+    bool (*matches)(void *data, const struct plug_gate_waiter *waiter),
+    void *data)
 {
-	return gate->first != NULL && now >= gate->first->deadline;
+	struct plug_gate_waiter **link = &gate->first;
+
+	while (*link != NULL && !matches(data, *link))
+		link = &(*link)->next;
+	return unlink_waiter(gate, link);
 }
--- a/libplantainlug/track/gate.h
+++ b/libplantainlug/track/gate.h
@@ -9,6 +9,7 @@
  * @tuple: flow
  * @entry: address of the entry that sent it
  * @host: hash of the instance id of the host that it is meant for
+ * @patience: its answer is in time if it is admitted before this time
  * @deadline: it is of no use to its client after this time
  * @priority: 0 is admitted first
  * @len: length of @bytes
@@ -19,6 +20,7 @@
 	struct plug_tuple tuple;
 	uint32_t entry;
 	uint64_t host;
+	plug_time patience;
 	plug_time deadline;
 	uint32_t priority;
 	size_t len;
@@ -50,9 +52,11 @@
 void plug_gate_configure(struct plug_gate *gate, plug_time now, uint32_t slots,
     double cold_per_s, plug_time cold_until);
 bool plug_gate_admit(struct plug_gate *gate, plug_time now, uint32_t work);
-bool plug_gate_wait(struct plug_gate *gate, plug_time now,
-    const struct plug_gate_waiter *waiter, plug_time answer_time);
-struct plug_gate_waiter *plug_gate_take(struct plug_gate *gate);
-bool plug_gate_expired(const struct plug_gate *gate, plug_time now);
+bool
+plug_gate_wait(struct plug_gate *gate, const struct plug_gate_waiter *waiter);
+struct plug_gate_waiter *plug_gate_take(struct plug_gate *gate, plug_time now);
+struct plug_gate_waiter *plug_gate_take_if(struct plug_gate *gate,
+    bool (*matches)(void *data, const struct plug_gate_waiter *waiter),
+    void *data);
 
 #endif
