Check hosts every 2 s and read the host list every 0.7 s

A store that drops its history keeps all waiting reads silent at once, so nobody knows more.

Change: health checks every 2 s, host lists every 0.7 s, an agent's reads of the configuration every 60 s.

--- a/net/hostprobe.c
+++ b/net/hostprobe.c
@@ -7,7 +7,7 @@
 /* The check keeps its connection open, as hosts close one that has been idle
  * for 12 s, and tells of a host that begins to leave. It costs a moment of one
  * of the host's slots. */
-#define CHECK_PERIOD PLUG_SEC
+#define CHECK_PERIOD (2 * PLUG_SEC)
 
 #define REFUSED_PERIOD (100 * PLUG_MSEC) /* while nothing listens */
 #define ANSWER_MS      1000L /* a busy host answers behind its queue */
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -5,20 +5,21 @@
 #include "clock.h"
 #include "storereader.h"
 
-/* An entry learns of changes by a waiting read. A lost answer keeps it waiting
+/* An entry learns of changes by a waiting read. A lost answer, or a store that
+ * drops its history and tells no waiting read, keeps it waiting
  * for this long and ANSWER_MS, which together stay below the 4 s after which a
  * machine counts as being in touch again. */
 #define CHANGES_WAIT_MS 2500
 
 /* An agent needs little of the configuration: it reads it this often. */
-#define AGENT_PERIOD (20 * PLUG_SEC)
+#define AGENT_PERIOD (60 * PLUG_SEC)
 
 #define FIRST_PERIOD PLUG_SEC /* until there is one */
 
 #define ANSWER_MS 1000L /* answers take 4 ms, or 60 times as long when slow */
 
 /* Reads of the host list that may lag cost a tenth of an exact one. */
-#define HOSTS_PERIOD (500 * PLUG_MSEC)
+#define HOSTS_PERIOD (700 * PLUG_MSEC)
 
 /* Exact reads that were asked for are at least this far apart. */
 #define REFRESH_SPACING (100 * PLUG_MSEC)
