Keep one lookup over retransmissions; agents that saw the start are sure

Each retransmission of a client began a lookup of its own, and each of these asked the same wrong hosts by a segment, while the agent of the right host had just restarted and another one was away.

Ruled out: the limit of two probes (it holds within one lookup).

Change: a lookup lasts 3 s, longer than the 2 s that count, and asks silent agents at growing intervals; a host that comes up behind a refused port, under an id that the agent has not known, has no flow that the agent has not seen.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -389,8 +389,10 @@
 plug_track_agent_host(struct plug_track_agent *agent, plug_time now,
     enum plug_host_state state, uint64_t host, bool draining)
 {
-	bool restarted = agent->state == PLUG_HOST_DOWN ||
-			 (agent->host != 0 && agent->host != host);
+	bool was_away = agent->state == PLUG_HOST_DOWN ||
+			agent->state == PLUG_HOST_REFUSING;
+	bool is_new = agent->state == PLUG_HOST_DOWN ||
+		      (agent->host != host && (agent->host != 0 || was_away));
 
 	switch (state) {
 	case PLUG_HOST_UNKNOWN:
@@ -401,7 +403,7 @@
 			return;
 		break;
 	case PLUG_HOST_UP:
-		if (restarted) {
+		if (is_new) {
 			lose_all(agent, "host_replaced");
 			agent->whole = true;
 		}
--- a/libplantainlug/track/lookup.c
+++ b/libplantainlug/track/lookup.c
@@ -11,9 +11,15 @@
  */
 #define WIDEN_TIME (25 * PLUG_MSEC)
 
-/* Clients send again after 200 ms; a lookup that takes longer than two such
- * times starts anew with a later segment. */
-#define LOOKUP_TIME (400 * PLUG_MSEC)
+/* Agents that do not answer are asked at growing intervals, up to this one. */
+#define ASK_INTERVAL_MAX (320 * PLUG_MSEC)
+
+/* A lookup outlasts the 2 s in which segments at wrong hosts are counted, and
+ * the patience of most clients; a later segment begins a new one. */
+#define LOOKUP_TIME (3 * PLUG_SEC)
+
+/* A mere acknowledgement isn't worth more than this. */
+#define ACK_LOOKUP_TIME (400 * PLUG_MSEC)
 
 /* While a host that may hold the flow hasn't answered, at most this many others
  * are asked by a segment: three segments at wrong hosts and none at the right
@@ -36,6 +42,8 @@
 		return NULL;
 	lookup->flow = flow;
 	lookup->started = now;
+	lookup->asked = now;
+	lookup->interval = ASK_INTERVAL;
 	return lookup;
 }
 
@@ -214,7 +222,7 @@
 ask_silent(struct plug_lookup *lookup, plug_time now,
     const struct plug_track_driver *driver)
 {
-	bool due = now - lookup->asked >= ASK_INTERVAL;
+	bool due = now - lookup->asked >= lookup->interval;
 
 	for (unsigned int i = 0; i < lookup->count; i++) {
 		struct plug_lookup_host *host = &lookup->hosts[i];
@@ -222,8 +230,11 @@
 		if (!host->answered && (host->asked == 0 || due))
 			ask(lookup, host, false, driver);
 	}
-	if (due)
-		lookup->asked = now;
+	if (!due)
+		return;
+	lookup->asked = now;
+	if (lookup->interval < ASK_INTERVAL_MAX)
+		lookup->interval *= 2;
 }
 
 /**
@@ -254,7 +265,9 @@
 			return PLUG_LOOKUP_FOUND;
 		}
 	}
-	if (now - lookup->started >= LOOKUP_TIME || fleet == NULL)
+	if (now - lookup->started >=
+		(lookup->owed ? LOOKUP_TIME : ACK_LOOKUP_TIME) ||
+	    fleet == NULL)
 		return PLUG_LOOKUP_UNDECIDED;
 	add_hosts(lookup, fleet, domain);
 	tally = count_answers(lookup);
--- a/libplantainlug/track/lookup.h
+++ b/libplantainlug/track/lookup.h
@@ -36,6 +36,7 @@
  * @flow: flow; owned by the entry
  * @started: time of the first question
  * @asked: time of the last round of questions
+ * @interval: time until the next round
  * @wide: hosts outside the own domain are asked, too
  * @refreshed: an exact host list was asked for
  * @owed: the client waits for an answer, so that it is told when no host has
@@ -52,6 +53,7 @@
 	struct plug_entry_flow *flow;
 	plug_time started;
 	plug_time asked;
+	plug_time interval;
 	bool wide;
 	bool refreshed;
 	bool owed;
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -109,6 +109,37 @@
 }
 END_TEST
 
+/* Guards against the same over the client's retransmissions, each of which
+ * began a lookup of its own: FLOW on agents-and-entries of deploy/days. */
+START_TEST(few_probes_over_retransmissions)
+{
+	unsigned int holder;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	for (unsigned int i = 0; i < 5; i++)
+		world_restart_agent(&world, i);
+	world.agent_nodes[holder].cut = true;
+	for (unsigned int i = 0; i < 5; i++) {
+		world_data(&world, 1, 7);
+		world_run(&world, 450 * PLUG_MSEC);
+	}
+	ck_assert_uint_le(world_strange(&world), 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against an agent that asks its host by a segment although it has been
+ * there since before the host's start. */
+START_TEST(agent_that_saw_the_start_is_sure)
+{
+	for (unsigned int i = 0; i < 5; i++)
+		ck_assert(world.agents[i].whole);
+	world_restart_agent(&world, 1);
+	ck_assert(!world.agents[1].whole);
+}
+END_TEST
+
 /* Guards against clients that wait for their deadline after all hosts have
  * restarted: nobody holds their flows any more. */
 START_TEST(absent_flow_is_reset)
@@ -429,6 +460,8 @@
 	tcase_add_test(flows, restarted_agent_keeps_the_flow);
 	tcase_add_test(flows, all_processes_restart);
 	tcase_add_test(flows, few_probes_while_the_host_is_unreachable);
+	tcase_add_test(flows, few_probes_over_retransmissions);
+	tcase_add_test(flows, agent_that_saw_the_start_is_sure);
 	tcase_add_test(flows, absent_flow_is_reset);
 	tcase_add_test(flows, no_reset_before_an_exact_list);
 	tcase_add_test(flows, no_reset_by_a_list_that_is_not_trusted);
