Explain a tracked flow from its four addresses and ports

Cause: on the platform an operator has only the logs of all machines together and the addresses of a flow; the explanation knew flow ids of the token mode.

Ruled out: ids of our own in the logs (a client can not name them).

Change: "explain flow IP:PORT-IP:PORT" follows a flow through placement, admission, lookups and resets and names the cause; what a collector puts before a line is passed over. Placements and admissions are logged with what they were decided from; slow answers at most ten times a second. Agents serve a histogram of answer times.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -15,6 +15,7 @@
 
 static const char usage[] =
     "usage: plantainlug explain flow ID [--json] [FILE...]\n"
+    "       plantainlug explain flow IP:PORT-IP:PORT [--json] [FILE...]\n"
     "       plantainlug explain host NAME --from TIME --to TIME [--json] "
     "[FILE...]\n"
     "       plantainlug explain traffic [--json] [FILE...]\n"
@@ -190,6 +191,11 @@
 		return false;
 	if (strcmp(kind, "flow") == 0) {
 		query->kind = PLUG_EXPLAIN_FLOW;
+		if (strchr(words->sval[1], '-') != NULL) {
+			query->kind = PLUG_EXPLAIN_TRACKED;
+			query->tuple = words->sval[1];
+			return !times;
+		}
 		return !times && read_flow(words->sval[1], &query->flow);
 	}
 	if (strcmp(kind, "host") != 0 || from->count == 0 || to->count == 0)
@@ -215,7 +221,8 @@
 	struct arg_str *to =
 	    arg_str0(NULL, "to", "TIME", "last time, for host");
 	struct arg_str *words = arg_strn(NULL, NULL, "WORD", 1, FILES_MAX + 2,
-	    "flow ID [FILE...], host NAME [FILE...] or traffic [FILE...]; "
+	    "flow ID [FILE...] (of a tracked flow, IP:PORT-IP:PORT of client "
+	    "and service), host NAME [FILE...] or traffic [FILE...]; "
 	    "FILE - is standard input");
 	void *table[] = { json, from, to, words, arg_end(8) };
 	struct plug_explain_query query = { 0 };
--- a/libplantainlug/explain.c
+++ b/libplantainlug/explain.c
@@ -121,10 +121,30 @@
 		return plug_explain_host_feed(explain, line);
 	case PLUG_EXPLAIN_TRAFFIC:
 		return plug_explain_traffic_feed(explain, line);
+	case PLUG_EXPLAIN_TRACKED:
+		return plug_explain_tracked_feed(explain, line);
 	}
 	return false;
 }
 
+#define PREFIX_MAX 64 /* bytes that a collector of logs puts before a line */
+
+/* Leaves out what a collector has put before the line: a time of its own and
+ * the name of the machine. */
+static struct plug_str
+without_prefix(struct plug_str text)
+{
+	static const char start[] = " time=";
+	const size_t len = sizeof(start) - 1;
+
+	for (size_t i = 0; i + len <= text.len && i < PREFIX_MAX; i++) {
+		if (memcmp(text.data + i, start, len) == 0)
+			return (struct plug_str){ text.data + i + 1,
+				text.len - i - 1 };
+	}
+	return text;
+}
+
 /**
  * plug_explain_feed() - take one line of a log
  * @explain: explanation
@@ -143,6 +163,7 @@
 
 	if (text.len == 0)
 		return PLUG_OK;
+	text = without_prefix(text);
 	code = plug_logline_parse(text, &line, status);
 	if (code != PLUG_OK) {
 		explain->unreadable++;
@@ -192,6 +213,9 @@
 	case PLUG_EXPLAIN_TRAFFIC:
 		found = plug_explain_traffic_report(explain, output);
 		break;
+	case PLUG_EXPLAIN_TRACKED:
+		found = plug_explain_tracked_report(explain, output);
+		break;
 	}
 	if (explain->unreadable > 0)
 		plug_explain_row(output, "event=unreadable lines=%llu",
--- a/libplantainlug/explain.h
+++ b/libplantainlug/explain.h
@@ -8,12 +8,14 @@
 	PLUG_EXPLAIN_FLOW,    /* the life of a flow and why it broke */
 	PLUG_EXPLAIN_HOST,    /* what made a host hot */
 	PLUG_EXPLAIN_TRAFFIC, /* bytes between failure domains */
+	PLUG_EXPLAIN_TRACKED, /* the same as FLOW, in the tracking mode */
 };
 
 /**
  * struct plug_explain_query - what to explain
  * @kind: selects the members in use
  * @flow: flow id
+ * @tuple: addresses and ports of a tracked flow, as logs have them
  * @host: name of an agent
  * @from: first time of interest, microseconds since 1970
  * @to: last time of interest
@@ -21,6 +23,7 @@
 struct plug_explain_query {
 	enum plug_explain_kind kind;
 	uint64_t flow;
+	const char *tuple;
 	const char *host;
 	plug_time from;
 	plug_time to;
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -23,6 +23,11 @@
 /* Entries let a flow wait for twice the time in which its answer is in time. */
 #define WAIT_PATIENCE 2
 
+/* Answers that take longer are logged, as most objectives are 100 to 300 ms; at
+ * most ten a second. */
+#define SLOW_ANSWER  (200 * PLUG_MSEC)
+#define SLOW_SPACING (100 * PLUG_MSEC)
+
 /* A leaving host closes its port and goes on serving its flows for seconds. One
  * that also answers no segment for this long is dead: a living host answers or
  * returns one within a few milliseconds, and while it works on all requests,
@@ -275,7 +280,7 @@
 		return;
 	agent->counters[PLUG_AGENT_ADMITTED]++;
 	log_flow(
-	    agent, PLUG_LOG_DEBUG, "open_admitted", &segment->tuple, "room");
+	    agent, PLUG_LOG_INFO, "open_admitted", &segment->tuple, "room");
 	hand_to_host(agent, now, segment);
 }
 
@@ -528,14 +533,27 @@
 }
 
 static void
-count_answer(struct plug_track_agent *agent, plug_time time)
+count_answer(struct plug_track_agent *agent, plug_time now,
+    const struct plug_held_flow *flow)
 {
+	plug_time time = now - flow->asked;
 	unsigned int bucket = 0;
+	char text[PLUG_TUPLE_TEXT];
 
 	while (bucket + 1 < PLUG_ANSWER_BUCKETS && time >= PLUG_ANSWER_FIRST
 							       << bucket)
 		bucket++;
 	agent->answers[bucket]++;
+	if (time < SLOW_ANSWER || now - agent->slow_logged < SLOW_SPACING)
+		return;
+	agent->slow_logged = now;
+	(void)plug_tuple_format(&flow->conn.tuple, text, sizeof(text));
+	plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
+	    "event=answer_slow flow=%s ms=%lld running=%u slots=%u waiting=%u "
+	    "cold=%d host=%016llx",
+	    text, (long long)(time / PLUG_MSEC), agent->running,
+	    agent->gate.slots, agent->gate.waiting,
+	    now < agent->gate.cold_until, (unsigned long long)agent->host);
 }
 
 static void
@@ -553,7 +571,7 @@
 	}
 	if (segment->len > 0 && flow->working) {
 		flow->working = false;
-		count_answer(agent, now - flow->asked);
+		count_answer(agent, now, flow);
 	}
 	if ((segment->flags & PLUG_SEGMENT_FIN) != 0) {
 		flow->host_fin = true;
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -92,6 +92,7 @@
  * @open: flows that are open or opening
  * @running: requests at work
  * @opening: flows whose first request is expected
+ * @slow_logged: time of the last log line about a slow answer
  * @answers: requests by the time of their answer: below PLUG_ANSWER_FIRST,
  * below twice that, and so on; the last bucket has the rest
  * @gate: admission of new flows
@@ -112,6 +113,7 @@
 	uint32_t open;
 	uint32_t running;
 	uint32_t opening;
+	plug_time slow_logged;
 	uint64_t answers[PLUG_ANSWER_BUCKETS];
 	struct plug_gate gate;
 	struct plug_reported reported[PLUG_REPORTED_MAX];
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -108,6 +108,34 @@
 	    fleet == NULL ? 0 : (unsigned long long)fleet->revision);
 }
 
+/* What the choice was made from: the last report and its age. */
+static void
+log_placement(const struct plug_track_entry *entry, plug_time now,
+    const struct plug_entry_flow *flow, const char *reason)
+{
+	const struct plug_fleet *fleet = entry->balance.fleet;
+	const struct plug_fleet_host *host = plug_fleet_host(fleet, flow->host);
+	const struct plug_target *target =
+	    plug_balance_target(&entry->balance, flow->host);
+	char text[PLUG_TUPLE_TEXT];
+
+	if (host == NULL || target == NULL)
+		return;
+	(void)plug_tuple_format(&flow->conn.tuple, text, sizeof(text));
+	plug_client_log(&entry->driver->client, PLUG_LOG_INFO,
+	    "event=flow_placed flow=%s host=%s reason=%s flows=%u running=%u "
+	    "waiting=%u sent=%u age_ms=%lld remote=%d version=%llu "
+	    "revision=%llu",
+	    text, host->name, reason, target->flows, target->running,
+	    target->waiting, target->sent,
+	    target->reported == 0
+		? -1LL
+		: (long long)((now - target->reported) / PLUG_MSEC),
+	    host->domain != entry->domain,
+	    (unsigned long long)fleet->config->version,
+	    (unsigned long long)fleet->revision);
+}
+
 static void
 end_flow(struct plug_track_entry *entry, plug_time now,
     struct plug_entry_flow *flow, uint32_t seq, const char *reason)
@@ -208,7 +236,7 @@
 	flow->agent = host->address;
 	flow->host = host->id;
 	entry->counters[PLUG_ENTRY_OPENED]++;
-	log_flow(entry, PLUG_LOG_DEBUG, "flow_placed", flow, reason);
+	log_placement(entry, now, flow, reason);
 	send_open(entry, now, flow, host, route, segment);
 }
 
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -86,6 +86,28 @@
 	return n < 0 || (size_t)n >= size - len ? len : len + (size_t)n;
 }
 
+/* A cumulative histogram of the time from a request to its answer. */
+static size_t
+append_answers(struct trackd *trackd, char *buf, size_t size, size_t len)
+{
+	unsigned long long sum = 0;
+	char name[64];
+
+	for (unsigned int i = 0; i < PLUG_ANSWER_BUCKETS; i++) {
+		sum += atomic_load(
+		    &trackd->traffic.counts[PLUG_TRACKED_ANSWERS + i]);
+		if (i + 1 == PLUG_ANSWER_BUCKETS)
+			(void)snprintf(name, sizeof(name),
+			    "answer_ms_bucket{le=\"+Inf\"}");
+		else
+			(void)snprintf(name, sizeof(name),
+			    "answer_ms_bucket{le=\"%lld\"}",
+			    (long long)((PLUG_ANSWER_FIRST << i) / PLUG_MSEC));
+		len = append(buf, size, len, name, sum);
+	}
+	return len;
+}
+
 static size_t
 on_metrics(void *data, char *buf, size_t size)
 {
@@ -107,6 +129,8 @@
 			len = append(buf, size, len, name,
 			    atomic_load(&trackd->traffic.counts[i]));
 	}
+	if (is_agent(trackd))
+		len = append_answers(trackd, buf, size, len);
 	for (unsigned int i = 0; i < PLUG_STORE_COUNTERS; i++)
 		len = append(buf, size, len, store_names[i],
 		    plug_storereader_count(trackd->reader, i));
--- a/net/tracktraffic.c
+++ b/net/tracktraffic.c
@@ -229,6 +229,10 @@
 	for (unsigned int i = 0; i < count; i++)
 		atomic_store_explicit(&traffic->counts[PLUG_TRACKED_ROLE + i],
 		    counters[i], memory_order_relaxed);
+	for (unsigned int i = 0; !is_entry && i < PLUG_ANSWER_BUCKETS; i++)
+		atomic_store_explicit(
+		    &traffic->counts[PLUG_TRACKED_ANSWERS + i],
+		    traffic->agent.answers[i], memory_order_relaxed);
 }
 
 static plug_time
@@ -480,7 +484,9 @@
 	}
 	count -= PLUG_TRACKED_ROLE;
 	if (traffic->settings->role == PLUG_ROLE_ENTRY)
-		return plug_track_entry_counter_name(count);
+		return count < PLUG_ENTRY_COUNTERS
+			   ? plug_track_entry_counter_name(count)
+			   : NULL;
 	return count < PLUG_AGENT_COUNTERS
 		   ? plug_track_agent_counter_name(count)
 		   : NULL;
--- a/net/tracktraffic.h
+++ b/net/tracktraffic.h
@@ -40,7 +40,9 @@
 	PLUG_TRACKED_SEND_FAILED, /* datagrams that the kernel didn't take */
 	PLUG_TRACKED_FLOWS,	  /* flows in the table */
 	PLUG_TRACKED_ROLE,	  /* first of the role's counters */
-	PLUG_TRACKED_COUNTS = PLUG_TRACKED_ROLE + PLUG_ENTRY_COUNTERS,
+	/* Behind those of an agent: its answers by time. */
+	PLUG_TRACKED_ANSWERS = PLUG_TRACKED_ROLE + PLUG_AGENT_COUNTERS,
+	PLUG_TRACKED_COUNTS = PLUG_TRACKED_ANSWERS + PLUG_ANSWER_BUCKETS,
 };
 
 /**
