Read the configuration service and the platform's store by one HTTP client

net/platform.c had libcurl code of its own beside net/fetch.c. It now keeps only what belongs to the configuration service: keys, indices, replicas and back-off.

Ruled out: one reader for both; they differ in what a read is and when it is due.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -19,8 +19,6 @@
  * those through which nothing passes any more give no other sign. */
 #define UNACKNOWLEDGED_MS 1500
 
-#define BODY_MAX ((size_t)4 * 1024 * 1024) /* bytes of an answer */
-
 struct plug_fetch {
 	CURLM *multi;
 };
@@ -90,7 +88,7 @@
 	struct plug_fetch_slot *slot = user;
 	size_t len = size * count;
 
-	if (slot->len + len > BODY_MAX ||
+	if (slot->len + len > slot->handlers.body_max ||
 	    !plug_buffer_reserve(&slot->body, &slot->capacity, slot->len + len))
 		return 0;
 	memcpy(slot->body + slot->len, data, len);
@@ -191,7 +189,7 @@
 
 /**
  * plug_fetch_slot_destroy() - end a slot and its GET
- * @slot: slot, or NULL; not from within its handlers
+ * @slot: slot, or NULL; not from within its header handler
  */
 void
 plug_fetch_slot_destroy(struct plug_fetch_slot *slot)
@@ -318,8 +316,9 @@
 static void
 finish(struct plug_fetch_slot *slot, CURLcode result)
 {
+	uint8_t *body = slot->body;
 	struct plug_fetch_answer answer = {
-		.body = { (const char *)slot->body, slot->len },
+		.body = { (const char *)body, slot->len },
 		.reason = curl_easy_strerror(result),
 	};
 	long error = 0;
@@ -334,7 +333,11 @@
 	}
 	(void)curl_multi_remove_handle(slot->fetch->multi, slot->easy);
 	slot->busy = false;
+	/* The handler may destroy the slot. */
+	slot->body = NULL;
+	slot->capacity = 0;
 	slot->handlers.done(slot->handlers.data, &answer);
+	free(body);
 }
 
 /**
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -26,11 +26,13 @@
  * @header: one line of the answer's header; or NULL
  * @done: the GET has ended, and the next one may be started
  * @data: first argument of both
+ * @body_max: bytes of an answer's body; a longer one is an error
  */
 struct plug_fetch_handlers {
 	void (*header)(void *data, struct plug_str line);
 	void (*done)(void *data, const struct plug_fetch_answer *answer);
 	void *data;
+	size_t body_max;
 };
 
 struct plug_fetch;
--- a/net/hostprobe.c
+++ b/net/hostprobe.c
@@ -13,6 +13,7 @@
 #define ANSWER_MS      1000L /* a busy host answers behind its queue */
 #define UNANSWERED_MAX 3 /* checks without an answer that count as refused */
 #define STATUS_HEALTHY 200
+#define BODY_MAX       ((size_t)64 * 1024) /* bytes; the body is not used */
 
 static void
 on_header(void *data, struct plug_str line)
@@ -103,6 +104,7 @@
 		.header = on_header,
 		.done = on_done,
 		.data = probe,
+		.body_max = BODY_MAX,
 	};
 
 	*probe = (struct plug_hostprobe){
--- a/net/platform.c
+++ b/net/platform.c
@@ -1,26 +1,23 @@
-#include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <time.h>
 
 #include "../libplantainlug/document.h"
-#include "buffer.h"
+#include "fetch.h"
 #include "platform.h"
-#include "pollset.h"
 
 #define KEY_SIZE	96     /* bytes of a key, with the NUL */
-#define URL_SIZE	256    /* bytes */
 #define WATCHES_MAX	4096   /* keys of one process */
 #define WAIT_S		30     /* seconds that a query blocks */
 #define TIMEOUT_MS	40000L /* the service may answer a little later */
-#define CONNECT_MS	1000L  /* to open a connection */
-#define KEEPALIVE_S	3L     /* idle time and interval of probes */
 #define BACKOFF_MIN_MS	100    /* after the first failure */
 #define BACKOFF_MAX_MS	2000   /* below the 7 s of a change, with retries */
 #define SPACING_MS	50     /* between two queries for one key */
 #define EARLY_ANSWER_MS 1000   /* an unchanged answer this early is a fault */
 #define POLL_MAX_MS	100    /* longest wait of the loop */
+#define POLL_FDS_MAX	256    /* descriptors */
 #define INDEX_HEADER	"X-Consul-Index:"
 
 /**
@@ -28,24 +25,20 @@
  * @platform: owner
  * @key: key
  * @index: last version that was handed on; queries wait for another one
- * @easy: transfer; running when @running
+ * @slot: the query's GET
  * @missing: the service has said that the key does not exist
  * @missing_index: index to wait for while it is missing
  * @replica: replica that is asked
  * @failures: failures in a row
  * @started: time of the query, milliseconds
- * @due: time of the next query when not @running
+ * @due: time of the next query when none is running
  * @answer_index: index of the running query's answer
- * @body: answer
- * @len: length of @body in bytes
- * @capacity: its allocated size in bytes
  */
 struct watch {
 	struct plug_platform *platform;
 	char key[KEY_SIZE];
 	uint64_t index;
-	CURL *easy;
-	bool running;
+	struct plug_fetch_slot *slot;
 	bool missing;
 	uint64_t missing_index;
 	unsigned int replica;
@@ -53,13 +46,10 @@
 	int64_t started;
 	int64_t due;
 	uint64_t answer_index;
-	uint8_t *body;
-	size_t len;
-	size_t capacity;
 };
 
 struct plug_platform {
-	CURLM *multi;
+	struct plug_fetch *fetch;
 	struct plug_platform_handlers handlers;
 	unsigned int replica_count;
 	struct plug_endpoint replicas[PLUG_PLATFORM_REPLICAS];
@@ -97,15 +87,11 @@
 		free(platform);
 		return NULL;
 	}
-	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
+	platform->fetch = plug_fetch_create();
+	if (platform->fetch == NULL) {
 		free(platform);
 		return NULL;
 	}
-	platform->multi = curl_multi_init();
-	if (platform->multi == NULL) {
-		plug_platform_destroy(platform);
-		return NULL;
-	}
 	platform->handlers = *handlers;
 	platform->replica_count = replica_count;
 	for (unsigned int i = 0; i < replica_count; i++)
@@ -118,11 +104,7 @@
 static void
 free_watch(struct watch *watch)
 {
-	if (watch->running)
-		(void)curl_multi_remove_handle(
-		    watch->platform->multi, watch->easy);
-	curl_easy_cleanup(watch->easy);
-	free(watch->body);
+	plug_fetch_slot_destroy(watch->slot);
 	free(watch);
 }
 
@@ -137,56 +119,44 @@
 		return;
 	for (unsigned int i = 0; i < platform->watch_count; i++)
 		free_watch(platform->watches[i]);
-	if (platform->multi != NULL)
-		(void)curl_multi_cleanup(platform->multi);
-	curl_global_cleanup();
+	plug_fetch_destroy(platform->fetch);
 	free(platform);
 }
 
-static size_t
-on_body(char *data, size_t size, size_t count, void *user)
-{
-	struct watch *watch = user;
-	size_t len = size * count;
-
-	if (len > PLUG_DOCUMENT_SIZE_MAX - watch->len)
-		return 0;
-	if (!plug_buffer_reserve(
-		&watch->body, &watch->capacity, watch->len + len))
-		return 0;
-	memcpy(watch->body + watch->len, data, len);
-	watch->len += len;
-	return len;
-}
-
-/* libcurl's header lines are not terminated by a NUL. */
-static size_t
-on_header(char *data, size_t size, size_t count, void *user)
+/* Header lines are not terminated by a NUL. */
+static void
+on_header(void *data, struct plug_str line)
 {
 	const size_t prefix = strlen(INDEX_HEADER);
-	struct watch *watch = user;
-	size_t len = size * count;
+	struct watch *watch = data;
 	char text[32];
 
-	if (len > prefix && len - prefix < sizeof(text) &&
-	    curl_strnequal(data, INDEX_HEADER, prefix)) {
-		memcpy(text, data + prefix, len - prefix);
-		text[len - prefix] = '\0';
+	if (line.len > prefix && line.len - prefix < sizeof(text) &&
+	    strncasecmp(line.data, INDEX_HEADER, prefix) == 0) {
+		memcpy(text, line.data + prefix, line.len - prefix);
+		text[line.len - prefix] = '\0';
 		watch->answer_index = strtoull(text, NULL, 10);
 	}
-	return len;
 }
 
+static void on_done(void *data, const struct plug_fetch_answer *answer);
+
 static struct watch *
 create_watch(
     struct plug_platform *platform, struct plug_str key, uint64_t index)
 {
 	struct watch *watch = calloc(1, sizeof(*watch));
+	const struct plug_fetch_handlers handlers = {
+		.header = on_header,
+		.done = on_done,
+		.data = watch,
+		.body_max = PLUG_DOCUMENT_SIZE_MAX,
+	};
 
 	if (watch == NULL)
 		return NULL;
-	watch->easy = curl_easy_init();
-	if (watch->easy == NULL) {
+	watch->slot = plug_fetch_slot_create(platform->fetch, &handlers);
+	if (watch->slot == NULL) {
 		free(watch);
 		return NULL;
 	}
@@ -261,8 +231,7 @@
 {
 	struct plug_platform *platform = watch->platform;
 	uint64_t index = watch->missing ? watch->missing_index : watch->index;
-	char url[URL_SIZE], address[32];
-	CURL *easy = watch->easy;
+	char url[PLUG_FETCH_URL_SIZE], address[32];
 
 	(void)plug_endpoint_format(
 	    platform->replicas[watch->replica], address, sizeof(address));
@@ -270,25 +239,9 @@
 	    "http://%s/v1/kv/%s%sindex=%llu&wait=%ds", address, watch->key,
 	    strchr(watch->key, '?') == NULL ? "?raw&" : "&",
 	    (unsigned long long)index, WAIT_S);
-	watch->len = 0;
 	watch->answer_index = 0;
 	watch->started = now;
-	(void)curl_easy_setopt(easy, CURLOPT_URL, url);
-	(void)curl_easy_setopt(easy, CURLOPT_PRIVATE, watch);
-	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-	(void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, watch);
-	(void)curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-	(void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, watch);
-	(void)curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
-	(void)curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
-	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
-	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
-	(void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	(void)curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	(void)curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-	watch->running =
-	    curl_multi_add_handle(platform->multi, easy) == CURLM_OK;
+	(void)plug_fetch_start(watch->slot, url, TIMEOUT_MS);
 	watch->due = now + BACKOFF_MAX_MS;
 }
 
@@ -314,22 +267,20 @@
  * handler may stop this watch.
  */
 static void
-finish_query(struct watch *watch, CURLcode result, long http, int64_t now)
+on_done(void *data, const struct plug_fetch_answer *answer)
 {
-	struct plug_platform *platform = watch->platform;
-	const struct plug_platform_handlers *handlers = &platform->handlers;
+	struct watch *watch = data;
+	const struct plug_platform_handlers *handlers =
+	    &watch->platform->handlers;
 	char key[KEY_SIZE], reason[96];
-	uint8_t *body = watch->body;
-	struct plug_str bytes = { (const char *)body, watch->len };
+	int64_t now = now_ms();
 	uint64_t version = watch->answer_index;
 	bool early = now - watch->started < EARLY_ANSWER_MS;
 	bool was_missing = watch->missing;
 
 	(void)memcpy(key, watch->key, sizeof(key));
-	(void)curl_multi_remove_handle(platform->multi, watch->easy);
-	watch->running = false;
 	watch->due = now + SPACING_MS;
-	if (result == CURLE_OK && http == 404 && version > 0) {
+	if (answer->status == 404 && version > 0) {
 		if (was_missing && version == watch->missing_index && early)
 			back_off(watch, now);
 		else
@@ -341,9 +292,9 @@
 			    "the key does not exist");
 		return;
 	}
-	if (result != CURLE_OK || http != 200 || version == 0) {
+	if (answer->status != 200 || version == 0) {
 		(void)snprintf(reason, sizeof(reason), "%s, status %ld",
-		    curl_easy_strerror(result), http);
+		    answer->reason, answer->status);
 		back_off(watch, now);
 		handlers->failure(handlers->data, plug_str_from(key), reason);
 		return;
@@ -362,10 +313,8 @@
 		watch->failures = 0;
 		watch->index = version;
 	}
-	watch->body = NULL;
-	watch->capacity = 0;
-	handlers->value(handlers->data, plug_str_from(key), version, bytes);
-	free(body);
+	handlers->value(
+	    handlers->data, plug_str_from(key), version, answer->body);
 }
 
 /**
@@ -380,14 +329,7 @@
 plug_platform_fds(
     struct plug_platform *platform, struct pollfd *fds, unsigned int max)
 {
-	fd_set in, out, error;
-	int top = -1;
-
-	FD_ZERO(&in);
-	FD_ZERO(&out);
-	FD_ZERO(&error);
-	(void)curl_multi_fdset(platform->multi, &in, &out, &error, &top);
-	return plug_pollset_from(&in, &out, top, fds, max);
+	return plug_fetch_fds(platform->fetch, fds, max);
 }
 
 /**
@@ -399,16 +341,13 @@
 int
 plug_platform_timeout(struct plug_platform *platform)
 {
-	int64_t now = now_ms(), wait = POLL_MAX_MS;
-	long curl_wait = -1;
+	int64_t now = now_ms();
+	int64_t wait = plug_fetch_timeout(platform->fetch, POLL_MAX_MS);
 
-	(void)curl_multi_timeout(platform->multi, &curl_wait);
-	if (curl_wait >= 0 && curl_wait < wait)
-		wait = curl_wait;
 	for (unsigned int i = 0; i < platform->watch_count; i++) {
 		const struct watch *watch = platform->watches[i];
 
-		if (!watch->running && watch->due - now < wait)
+		if (!plug_fetch_busy(watch->slot) && watch->due - now < wait)
 			wait = watch->due - now;
 	}
 	return wait < 0 ? 0 : (int)wait;
@@ -424,29 +363,14 @@
 plug_platform_perform(struct plug_platform *platform)
 {
 	int64_t now = now_ms();
-	int running, queued;
-	CURLMsg *message;
 
 	for (unsigned int i = 0; i < platform->watch_count; i++) {
 		struct watch *watch = platform->watches[i];
 
-		if (!watch->running && watch->due <= now)
+		if (!plug_fetch_busy(watch->slot) && watch->due <= now)
 			start_query(watch, now);
 	}
-	(void)curl_multi_perform(platform->multi, &running);
-	while ((message = curl_multi_info_read(platform->multi, &queued)) !=
-	       NULL) {
-		CURLcode result = message->data.result;
-		CURL *easy = message->easy_handle;
-		struct watch *watch = NULL;
-		long http = 0;
-
-		if (message->msg != CURLMSG_DONE)
-			continue;
-		(void)curl_easy_getinfo(easy, CURLINFO_PRIVATE, &watch);
-		(void)curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http);
-		finish_query(watch, result, http, now);
-	}
+	plug_fetch_perform(platform->fetch);
 }
 
 /**
@@ -457,9 +381,10 @@
 void
 plug_platform_poll(struct plug_platform *platform, int timeout_ms)
 {
+	struct pollfd fds[POLL_FDS_MAX];
+	unsigned int count = plug_platform_fds(platform, fds, POLL_FDS_MAX);
 	int wait = plug_platform_timeout(platform);
 
-	(void)curl_multi_poll(platform->multi, NULL, 0,
-	    wait < timeout_ms ? wait : timeout_ms, NULL);
+	(void)poll(fds, count, wait < timeout_ms ? wait : timeout_ms);
 	plug_platform_perform(platform);
 }
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -16,6 +16,9 @@
 
 #define FIRST_PERIOD PLUG_SEC /* until there is one */
 
+/* A page has at most about 1 MB of values, in base64. */
+#define ANSWER_SIZE_MAX ((size_t)4 * 1024 * 1024)
+
 #define ANSWER_MS 1000L /* answers take 4 ms, or 60 times as long when slow */
 
 /* Reads of the host list that may lag cost a tenth of an exact one. */
@@ -115,6 +118,7 @@
 	const struct plug_fetch_handlers handlers = {
 		.done = done,
 		.data = part,
+		.body_max = ANSWER_SIZE_MAX,
 	};
 
 	part->reader = reader;
