Let no callback of libcurl outlive its slot

Cause: the sanitized unit tests reported a use after free: libcurl keeps a connection beyond the transfer that opened it, and closed it with a callback whose data was the slot, freed by then.

Ruled out: forbidding the reuse of the connection when the slot ends (it is in the pool already).

Change: the socket of a kept connection is asked from libcurl when a GET ends. The health check has a pool of its own, as a GET of another slot may close it.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -29,7 +29,8 @@
  * @handlers: what becomes of it
  * @easy: transfer with its connection
  * @busy: a GET is under way
- * @sock: socket of the kept connection, -1 without one
+ * @sock: socket of the connection that the last GET has left open, -1 without
+ *   one; libcurl may close it during any GET of @fetch
  * @body: answer
  * @len: length of @body in bytes
  * @capacity: its allocated size in bytes
@@ -107,28 +108,6 @@
 	return line.len;
 }
 
-static curl_socket_t
-on_open(void *user, curlsocktype purpose, struct curl_sockaddr *address)
-{
-	struct plug_fetch_slot *slot = user;
-	int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
-	    address->protocol);
-
-	(void)purpose;
-	slot->sock = fd;
-	return fd < 0 ? CURL_SOCKET_BAD : fd;
-}
-
-static int
-on_close(void *user, curl_socket_t fd)
-{
-	struct plug_fetch_slot *slot = user;
-
-	if (slot->sock == fd)
-		slot->sock = -1;
-	return close(fd);
-}
-
 static int
 on_options(void *user, curl_socket_t fd, curlsocktype purpose)
 {
@@ -172,10 +151,6 @@
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, slot);
 	(void)curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	(void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, slot);
-	(void)curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
-	(void)curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, slot);
-	(void)curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
-	(void)curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, slot);
 	(void)curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_options);
 	(void)curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
 	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
@@ -197,8 +172,6 @@
 	if (slot == NULL)
 		return;
 	plug_fetch_cancel(slot);
-	/* The connection outlives the transfer inside of libcurl. */
-	(void)curl_easy_setopt(slot->easy, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_cleanup(slot->easy);
 	free(slot->body);
 	free(slot);
@@ -216,6 +189,7 @@
 plug_fetch_start(struct plug_fetch_slot *slot, const char *url, long timeout_ms)
 {
 	slot->len = 0;
+	slot->sock = -1;
 	(void)curl_easy_setopt(slot->easy, CURLOPT_URL, url);
 	(void)curl_easy_setopt(slot->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
 	slot->busy =
@@ -248,7 +222,7 @@
 
 /**
  * plug_fetch_closed() - whether the peer has closed the kept connection
- * @slot: slot that isn't busy
+ * @slot: slot that isn't busy, the only one of its object
  *
  * Return: true also when there is no connection.
  */
@@ -321,9 +295,14 @@
 		.body = { (const char *)body, slot->len },
 		.reason = curl_easy_strerror(result),
 	};
+	curl_socket_t sock = CURL_SOCKET_BAD;
 	long error = 0;
 
 	if (result == CURLE_OK) {
+		if (curl_easy_getinfo(
+			slot->easy, CURLINFO_ACTIVESOCKET, &sock) == CURLE_OK &&
+		    sock != CURL_SOCKET_BAD)
+			slot->sock = sock;
 		(void)curl_easy_getinfo(
 		    slot->easy, CURLINFO_RESPONSE_CODE, &answer.status);
 	} else {
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -29,7 +29,8 @@
  * @adapter: how the platform speaks
  * @log: log
  * @client: log handler and random state
- * @fetch: GETs
+ * @fetch: GETs from the store
+ * @host_fetch: GETs from the host, whose connection tells when it ends
  * @reader: reader of the store
  * @probe: checks of an agent's host
  * @page: readiness and metrics
@@ -49,6 +50,7 @@
 	struct plug_log *log;
 	struct plug_client client;
 	struct plug_fetch *fetch;
+	struct plug_fetch *host_fetch;
 	struct plug_storereader *reader;
 	struct plug_hostprobe probe;
 	struct plug_statuspage *page;
@@ -207,7 +209,9 @@
 
 	trackd->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	trackd->fetch = plug_fetch_create();
-	if (trackd->wake < 0 || trackd->fetch == NULL) {
+	trackd->host_fetch = plug_fetch_create();
+	if (trackd->wake < 0 || trackd->fetch == NULL ||
+	    trackd->host_fetch == NULL) {
 		(void)plug_status_set(
 		    status, PLUG_E_LIBRARY, "libcurl can't be initialized");
 		return false;
@@ -217,7 +221,7 @@
 	if (trackd->reader == NULL ||
 	    (is_agent(trackd) &&
 		!plug_hostprobe_init(&trackd->probe, trackd->adapter,
-		    trackd->settings->host, trackd->fetch, &trackd->client,
+		    trackd->settings->host, trackd->host_fetch, &trackd->client,
 		    on_host, trackd))) {
 		(void)plug_status_set(status, PLUG_E_MEMORY, "out of memory");
 		return false;
@@ -234,6 +238,7 @@
 	if (is_agent(trackd) && trackd->probe.slot != NULL)
 		plug_hostprobe_finish(&trackd->probe);
 	plug_storereader_destroy(trackd->reader);
+	plug_fetch_destroy(trackd->host_fetch);
 	plug_fetch_destroy(trackd->fetch);
 	if (trackd->wake >= 0)
 		(void)close(trackd->wake);
@@ -298,6 +303,8 @@
 			    (struct pollfd){ .fd = sock, .events = POLLIN };
 	}
 	count += plug_fetch_fds(trackd->fetch, fds + count, FDS_MAX - count);
+	count +=
+	    plug_fetch_fds(trackd->host_fetch, fds + count, FDS_MAX - count);
 	count +=
 	    plug_statuspage_fds(trackd->page, fds + count, FDS_MAX - count);
 	return count;
@@ -323,11 +330,13 @@
 		next = earlier(next, trackd->leave_at);
 	count = collect_fds(trackd, fds);
 	wait = next <= now ? 0 : (int)((next - now) / PLUG_MSEC) + 1;
-	(void)poll(fds, count, plug_fetch_timeout(trackd->fetch, wait));
+	wait = plug_fetch_timeout(trackd->fetch, wait);
+	(void)poll(fds, count, plug_fetch_timeout(trackd->host_fetch, wait));
 	(void)eventfd_read(trackd->wake, &value);
 	if (atomic_exchange(&trackd->traffic.refresh, false))
 		plug_storereader_refresh(trackd->reader);
 	plug_fetch_perform(trackd->fetch);
+	plug_fetch_perform(trackd->host_fetch);
 	plug_statuspage_perform(trackd->page);
 }
 
