Look for the host of an opening flow whose host has gone

When the host of an opening flow goes, the entry keeps the flow without an agent until the next copy of its SYN. A segment that the client sends meanwhile went to address 0.0.0.0.

Ruled out: forgetting the flow at once (the copy of the SYN would not know which host has failed).

Change: such a segment begins a lookup.

--- a/libplantainlug/track/action.c
+++ b/libplantainlug/track/action.c
@@ -150,8 +150,6 @@
 		return "other_host";
 	case PLUG__REFUSAL_REASON__DRAINING:
 		return "draining";
-	case PLUG__REFUSAL_REASON__COLD:
-		return "cold";
 	case PLUG__REFUSAL_REASON__BUSY:
 		return "busy";
 	case PLUG__REFUSAL_REASON__BOUNCED:
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -441,6 +441,12 @@
 	if ((segment->flags & PLUG_SEGMENT_RST) == 0 &&
 	    is_dropped(entry, now, flow, segment))
 		return;
+	/* Its host has gone while it was being opened. */
+	if (flow != NULL && flow->state == PLUG_ENTRY_OPENING &&
+	    flow->agent == 0) {
+		forget(entry, flow);
+		flow = NULL;
+	}
 	if (flow != NULL) {
 		handle_known(entry, flow, segment);
 		return;
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -983,28 +983,26 @@
   (ProtobufCMessageInit) plug__track_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue plug__refusal_reason__enum_values_by_number[7] =
+static const ProtobufCEnumValue plug__refusal_reason__enum_values_by_number[6] =
 {
   { "UNSPECIFIED", "PLUG__REFUSAL_REASON__UNSPECIFIED", 0 },
   { "OTHER_HOST", "PLUG__REFUSAL_REASON__OTHER_HOST", 1 },
   { "DRAINING", "PLUG__REFUSAL_REASON__DRAINING", 2 },
-  { "COLD", "PLUG__REFUSAL_REASON__COLD", 3 },
-  { "BUSY", "PLUG__REFUSAL_REASON__BUSY", 4 },
-  { "BOUNCED", "PLUG__REFUSAL_REASON__BOUNCED", 5 },
-  { "WAITED", "PLUG__REFUSAL_REASON__WAITED", 6 },
+  { "BUSY", "PLUG__REFUSAL_REASON__BUSY", 3 },
+  { "BOUNCED", "PLUG__REFUSAL_REASON__BOUNCED", 4 },
+  { "WAITED", "PLUG__REFUSAL_REASON__WAITED", 5 },
 };
 static const ProtobufCIntRange plug__refusal_reason__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex plug__refusal_reason__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex plug__refusal_reason__enum_values_by_name[6] =
 {
-  { "BOUNCED", 5 },
-  { "BUSY", 4 },
-  { "COLD", 3 },
+  { "BOUNCED", 4 },
+  { "BUSY", 3 },
   { "DRAINING", 2 },
   { "OTHER_HOST", 1 },
   { "UNSPECIFIED", 0 },
-  { "WAITED", 6 },
+  { "WAITED", 5 },
 };
 const ProtobufCEnumDescriptor plug__refusal_reason__descriptor =
 {
@@ -1013,9 +1011,9 @@
   "RefusalReason",
   "Plug__RefusalReason",
   "plug",
-  7,
+  6,
   plug__refusal_reason__enum_values_by_number,
-  7,
+  6,
   plug__refusal_reason__enum_values_by_name,
   1,
   plug__refusal_reason__value_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -37,22 +37,18 @@
    * the host is leaving
    */
   PLUG__REFUSAL_REASON__DRAINING = 2,
-  /*
-   * the cold host has its share of this second
-   */
-  PLUG__REFUSAL_REASON__COLD = 3,
   /*
    * the queue of opening flows is full
    */
-  PLUG__REFUSAL_REASON__BUSY = 4,
+  PLUG__REFUSAL_REASON__BUSY = 3,
   /*
    * the host itself returned the segment
    */
-  PLUG__REFUSAL_REASON__BOUNCED = 5,
+  PLUG__REFUSAL_REASON__BOUNCED = 4,
   /*
    * the segment waited too long
    */
-  PLUG__REFUSAL_REASON__WAITED = 6
+  PLUG__REFUSAL_REASON__WAITED = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PLUG__REFUSAL_REASON)
 } Plug__RefusalReason;
 typedef enum _Plug__Holding {
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -297,6 +297,29 @@
 }
 END_TEST
 
+/* Guards against segments that are sent to no address: the host of an opening
+ * flow has gone, but its SYN+ACK is on the way to the client. */
+START_TEST(opening_flow_whose_host_has_gone)
+{
+	unsigned int holder;
+
+	world_syn(&world, 0, 7);
+	world_run(&world, 4 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].accepts, 1);
+	for (holder = 0; world.hosts[holder].syns == 0;)
+		holder++;
+	world_host_crash(&world, holder);
+	world_host_return(&world, holder, 500);
+	world_run(&world, 2 * PLUG_MSEC);
+	world_data(&world, 0, 7);
+	world_run(&world, 10 * PLUG_MSEC);
+	ck_assert_uint_eq(world.entries[0].counters[PLUG_ENTRY_LOOKUPS], 1);
+	world_adopt_all(&world, true);
+	world_run(&world, 50 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 1);
+}
+END_TEST
+
 /* Guards against a flow that is torn between two hosts which have answered
  * copies of its SYN through two entries. */
 START_TEST(copies_of_a_syn_at_two_hosts)
@@ -490,6 +513,7 @@
 	tcase_add_test(flows, crashed_host_resets_its_flows);
 	tcase_add_test(flows, leaving_host_keeps_its_flows);
 	tcase_add_test(flows, returned_segment_ends_the_flow);
+	tcase_add_test(flows, opening_flow_whose_host_has_gone);
 	tcase_add_test(flows, copies_of_a_syn_at_two_hosts);
 	tcase_add_test(flows, returned_syn_goes_to_another_host);
 	tcase_add_test(flows, draining_and_out_hosts_get_no_flow);
