Choose the ports of the tracking test outside the ephemeral range

Beside other tests it failed again in one of 69 runs: "can't listen for the readiness check on port 43418": a connection of another test had taken the port between its choice and the start of the process.

Ruled out: the product (the process says so and ends with 1, as it shall).

Change: ports come from below the ephemeral range; the logs are shown after a failure.

Conclusion: traced, mended.

--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -11,6 +11,7 @@
 import http.server
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -27,16 +28,32 @@
 CLIENT_PORT = 4001
 SYN, RST, ACK, BOUNCED = 1, 2, 16, 32
 HEADER = struct.Struct(">BII4sHH4sHII")
+LEAST_PORT = 10000
+LOG_LINES = 20  # of each process, shown after a failure
 GENEROUS = 20.0  # seconds for a condition that is met in milliseconds
 
 
+class StepFailed(Exception):
+    """A condition wasn't met in time."""
+
+
 def free_port():
-    """A port that is free on all addresses at this moment."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.bind(("", 0))
-    port = sock.getsockname()[1]
-    sock.close()
-    return port
+    """A port that is free for UDP and TCP, outside the ephemeral range.
+
+    Ephemeral ports are taken by the connections of other tests between this
+    choice and the start of a process.
+    """
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+        first_ephemeral = int(file.read().split()[0])
+    while True:
+        port = random.randrange(LEAST_PORT, first_ephemeral)
+        try:
+            for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind(("", port))
+        except OSError:
+            continue
+        return port
 
 
 def segment(source, target, flags, seq, ack, data=b""):
@@ -53,7 +70,7 @@
             return value
         time.sleep(0.02)
     print("event=step what=%s result=fail" % what, flush=True)
-    sys.exit(1)
+    raise StepFailed(what)
 
 
 class Store(http.server.BaseHTTPRequestHandler):
@@ -280,7 +297,13 @@
 
 def main():
     with tempfile.TemporaryDirectory(prefix="plantainlug-") as folder:
-        play(Deployment(os.path.abspath(sys.argv[1]), folder))
+        try:
+            play(Deployment(os.path.abspath(sys.argv[1]), folder))
+        except StepFailed:
+            for role in ("entry", "agent"):
+                with open(os.path.join(folder, role + ".log")) as file:
+                    print("".join(file.readlines()[-LOG_LINES:]), end="")
+            sys.exit(1)
 
 
 main()
