Stop at a lookup that memory was too short for

Cause: reading the change again. start_lookup() frees the flow when a lookup can not be allocated, and both callers went on with the freed flow.

Ruled out: nothing else; only a failed allocation reaches it.

Change: start_lookup() tells its callers. The id of a host in a lookup, which nothing read, is gone.

--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -352,20 +352,22 @@
 	}
 }
 
-static void
+/* Return: false when memory ran out; the flow is forgotten then. */
+static bool
 start_lookup(struct plug_track_entry *entry, plug_time now,
     struct plug_entry_flow *flow, const struct plug_segment *segment)
 {
 	flow->lookup = plug_lookup_create(flow, now);
 	if (flow->lookup == NULL) {
 		forget(entry, flow);
-		return;
+		return false;
 	}
 	flow->lookup->next = entry->lookups;
 	entry->lookups = flow->lookup;
 	flow->state = PLUG_ENTRY_LOCATING;
 	entry->counters[PLUG_ENTRY_LOOKUPS]++;
 	plug_lookup_save(flow->lookup, segment);
+	return true;
 }
 
 static void
@@ -456,8 +458,8 @@
 	flow = add_flow(entry, now, &segment->tuple);
 	if (flow == NULL)
 		return;
-	start_lookup(entry, now, flow, segment);
-	step_lookup(entry, now, flow);
+	if (start_lookup(entry, now, flow, segment))
+		step_lookup(entry, now, flow);
 }
 
 static void
@@ -536,8 +538,7 @@
 	    plug_segment_opens(&segment))
 		return;
 	/* This host has returned a segment of the flow. */
-	start_lookup(entry, now, flow, &segment);
-	if (flow->lookup == NULL)
+	if (!start_lookup(entry, now, flow, &segment))
 		return;
 	plug_lookup_answer(flow->lookup, from, PLUG__HOLDING__NO);
 	step_lookup(entry, now, flow);
--- a/libplantainlug/track/lookup.c
+++ b/libplantainlug/track/lookup.c
@@ -154,7 +154,6 @@
 		    find_agent(lookup, host->address) != NULL)
 			continue;
 		hosts[lookup->count++] = (struct plug_lookup_host){
-			.id = host->id,
 			.agent = host->address,
 		};
 	}
--- a/libplantainlug/track/lookup.h
+++ b/libplantainlug/track/lookup.h
@@ -7,7 +7,6 @@
 
 /**
  * struct plug_lookup_host - one host that is asked for a flow
- * @id: hash of its instance id; 0 for an agent whose host isn't listed
  * @agent: address of its machine
  * @asked: questions sent
  * @answered: the agent has answered
@@ -15,7 +14,6 @@
  * @probed: the host itself was asked, by a segment of the flow
  */
 struct plug_lookup_host {
-	uint64_t id;
 	uint32_t agent;
 	unsigned int asked;
 	bool answered;
