--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -412,14 +412,14 @@
 }
 END_TEST
 
-/* Guards against a host that is buried when all clients come back at once. The
- * host sheds what exceeds its own queue of 4 for each slot. */
-START_TEST(herd_waits_at_the_gate)
+/* Plays clients that open a flow each and send one request. */
+static void
+play_herd(uint16_t clients)
 {
-	for (uint16_t port = 1; port <= 200; port++)
+	for (uint16_t port = 1; port <= clients; port++)
 		world_syn(&world, port % 2, port);
 	for (unsigned int step = 0; step < 100; step++) {
-		for (uint16_t port = 1; port <= 200; port++) {
+		for (uint16_t port = 1; port <= clients; port++) {
 			struct world_client *client = &world.clients[port];
 
 			if (client->accepts > 0 && client->reset_at == 0 &&
@@ -430,6 +430,13 @@
 		}
 		world_run(&world, 5 * PLUG_MSEC);
 	}
+}
+
+/* Guards against a host that is buried when all clients come back at once. The
+ * host sheds what exceeds its own queue of 4 for each slot. */
+START_TEST(herd_waits_at_the_gate)
+{
+	play_herd(200);
 	for (unsigned int i = 0; i < 5; i++)
 		ck_assert_uint_le(world.hosts[i].most,
 		    world.hosts[i].slots + 4 * world.hosts[i].slots);
@@ -439,6 +446,36 @@
 }
 END_TEST
 
+/* Guards against flows at a service whose weight is 0: its route allows none
+ * there. */
+START_TEST(share_without_weight_gets_no_flow)
+{
+	for (unsigned int i = 1; i < 5; i++)
+		world.second[i] = true;
+	world_adopt_all(&world, true);
+	play_herd(60);
+	for (unsigned int i = 1; i < 5; i++)
+		ck_assert_uint_eq(world.hosts[i].syns, 0);
+}
+END_TEST
+
+/* Guards against a split that isn't kept while its hosts have room. */
+START_TEST(split_is_kept_without_overload)
+{
+	unsigned int second = 0;
+
+	world.second[2] = true;
+	world.second_weight = 20;
+	world_adopt_all(&world, true);
+	for (uint16_t port = 1; port <= 200; port++)
+		world_open(&world, port % 2, port);
+	for (uint16_t port = 1; port <= 200; port++)
+		second += world.hosts[2].holds[port];
+	ck_assert_uint_ge(second, 25);
+	ck_assert_uint_le(second, 55);
+}
+END_TEST
+
 /* Guards against silence towards a client that names no route. */
 START_TEST(flow_without_route_is_reset)
 {
@@ -521,6 +558,8 @@
 	tcase_add_test(flows, reused_address_gets_no_flow);
 	tcase_add_test(flows, cold_host_gets_its_share);
 	tcase_add_test(flows, herd_waits_at_the_gate);
+	tcase_add_test(flows, share_without_weight_gets_no_flow);
+	tcase_add_test(flows, split_is_kept_without_overload);
 	tcase_add_test(flows, flow_without_route_is_reset);
 	tcase_add_test(flows, silent_agent_is_left_out);
 	tcase_add_test(flows, flows_are_spread);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -225,8 +225,10 @@
 		config->routes[0] = (struct plug_route){
 			.target = { WORLD_VIP, WORLD_VIP_PORT },
 			.aim = 150 * PLUG_MSEC,
-			.share_count = 1,
-			.shares = { { WORLD_SERVICE, 1 } },
+			.share_count = 2,
+			.shares = { { WORLD_SERVICE,
+					100 - world->second_weight },
+			    { WORLD_SECOND, world->second_weight } },
 		};
 	}
 	plug_config_sort(config);
@@ -239,7 +241,8 @@
 			.id = world->hosts[i].id,
 			.name = "host",
 			.address = AGENT_ADDRESS + i,
-			.service = WORLD_SERVICE,
+			.service =
+			    world->second[i] ? WORLD_SECOND : WORLD_SERVICE,
 			.domain = i < 3 ? WORLD_NEAR : WORLD_FAR,
 			.slots = world->hosts[i].slots,
 			.draining = world->draining[i],
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -9,7 +9,8 @@
 #define WORLD_FLOWS    512
 #define WORLD_MESSAGES 8192
 
-#define WORLD_SERVICE	 77 /* service of every host */
+#define WORLD_SERVICE	 77 /* service of the hosts */
+#define WORLD_SECOND	 78 /* service of those that second[] names */
 #define WORLD_VIP	 0xc6120001U
 #define WORLD_VIP_PORT	 443
 #define WORLD_NEAR	 1U    /* domain of the entries and of hosts 0 to 2 */
@@ -82,6 +83,8 @@
 	bool draining[WORLD_HOSTS];
 	plug_time cold_until[WORLD_HOSTS];
 	double cold_per_s;
+	bool second[WORLD_HOSTS];
+	uint32_t second_weight; /* of 100, in the route */
 	bool far_out;
 	bool no_route;
 	bool untrusted;
