--- a/Makefile
+++ b/Makefile
@@ -124,7 +124,7 @@
 	./demo $(BUILD)
 
 generate:
-	cd proto && protoc-c --c_out=. control.proto
+	cd proto && protoc-c --c_out=. control.proto track.proto
 
 clean:
 	rm -rf build
--- a/libplantainlug/explain_tracked.c
+++ b/libplantainlug/explain_tracked.c
@@ -61,8 +61,12 @@
 		    "host_has_restarted" },
 		{ "flow_reset", "reason", "no_host_has_it",
 		    "host_has_restarted" },
-		{ "lookup_undecided", "reason", "silence",
+		{ "lookup_undecided", "reason", "agent_silent",
 		    "agent_unreachable" },
+		{ "lookup_undecided", "reason", "agent_unsure",
+		    "host_unreachable" },
+		{ "lookup_undecided", "reason", "host_list_out_of_date",
+		    "store_unreachable" },
 		{ "answer_slow", "cold", "1", "host_cold" },
 		{ "answer_slow", "cold", "0", "host_overloaded" },
 	};
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -40,6 +40,10 @@
 /* An entry that has sent nothing for this long gets no reports. */
 #define REPORT_ACTIVE (2 * PLUG_SEC)
 
+/* Answers of one datagram: 24 bytes each, so that it fits a packet of 1500
+ * bytes with its headers. */
+#define ANSWERS_PER_NOTICE 40
+
 #define REPORT_SOON (20 * PLUG_MSEC)  /* after a new flow */
 #define REPORT_TIME (250 * PLUG_MSEC) /* else, while flows are open */
 #define GATE_TICK   (10 * PLUG_MSEC)  /* while new flows wait */
@@ -195,23 +199,36 @@
 
 static void
 send_located(struct plug_track_agent *agent, uint32_t entry,
-    const struct plug_tuple *tuple, Plug__Holding holding,
-    const struct plug_segment *segment)
+    Plug__Answer **answers, size_t count)
 {
 	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
 	Plug__Located located = PLUG__LOCATED__INIT;
-	Plug__Tuple wire = PLUG__TUPLE__INIT;
 
-	plug_tuple_write(tuple, &wire);
-	located.tuple = &wire;
-	located.holding = holding;
-	if (segment != NULL)
-		located.segment = plug_track_bytes(segment->bytes);
+	if (count == 0)
+		return;
+	located.n_answers = count;
+	located.answers = answers;
 	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOCATED;
 	notice.located = &located;
 	plug_track_notify(agent->driver, entry, &notice);
 }
 
+static void
+send_answer(struct plug_track_agent *agent, uint32_t entry,
+    const struct plug_tuple *tuple, Plug__Holding holding,
+    const struct plug_segment *segment)
+{
+	Plug__Answer answer = PLUG__ANSWER__INIT, *list = &answer;
+	Plug__Tuple wire = PLUG__TUPLE__INIT;
+
+	plug_tuple_write(tuple, &wire);
+	answer.tuple = &wire;
+	answer.holding = holding;
+	if (segment != NULL)
+		answer.segment = plug_track_bytes(segment->bytes);
+	send_located(agent, entry, &list, 1);
+}
+
 static void
 send_lost(struct plug_track_agent *agent, const struct plug_held_flow *flow)
 {
@@ -247,7 +264,7 @@
 		send_lost(agent, flow);
 		break;
 	case PLUG_HELD_PROBED:
-		send_located(agent, flow->entry, &flow->conn.tuple,
+		send_answer(agent, flow->entry, &flow->conn.tuple,
 		    PLUG__HOLDING__NO, NULL);
 		break;
 	}
@@ -499,7 +516,7 @@
 	    plug_segment_opens(segment))
 		return;
 	if (is_sure(agent, now))
-		send_located(
+		send_answer(
 		    agent, from, &segment->tuple, PLUG__HOLDING__NO, segment);
 	else
 		probe(agent, now, from, segment);
@@ -528,7 +545,7 @@
 		send_refused(agent, entry, agent->host, &original,
 		    PLUG__REFUSAL_REASON__BOUNCED);
 	else
-		send_located(agent, entry, &original.tuple, PLUG__HOLDING__NO,
+		send_answer(agent, entry, &original.tuple, PLUG__HOLDING__NO,
 		    &original);
 }
 
@@ -580,7 +597,7 @@
 	count_flow(agent, flow, 1);
 	plug_conntable_touch(&agent->flows, &flow->conn, now);
 	if (probed && flow->state == PLUG_HELD_OPEN)
-		send_located(agent, flow->entry, &segment->tuple,
+		send_answer(agent, flow->entry, &segment->tuple,
 		    PLUG__HOLDING__YES, NULL);
 	if ((segment->flags & PLUG_SEGMENT_RST) != 0)
 		remove_flow(agent, flow);
@@ -708,38 +725,88 @@
 	return PLUG__HOLDING__UNSURE;
 }
 
-static void
-handle_locate(struct plug_track_agent *agent, plug_time now, uint32_t from,
-    const Plug__Locate *locate)
+/* Return: whether the question is to be answered at once. */
+static bool
+handle_question(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Question *question, Plug__Holding *answer)
 {
 	struct plug_held_flow *flow;
 	struct plug_segment segment;
 	struct plug_tuple tuple;
-	Plug__Holding answer;
 
-	if (!plug_tuple_read(locate->tuple, &tuple)) {
+	if (!plug_tuple_read(question->tuple, &tuple)) {
 		agent->counters[PLUG_AGENT_BAD]++;
-		return;
+		return false;
 	}
 	flow = plug_conntable_find(&agent->flows, &tuple);
-	answer = holding(agent, now, flow, locate->ack);
-	if (answer == PLUG__HOLDING__YES)
+	*answer = holding(agent, now, flow, question->ack);
+	if (*answer == PLUG__HOLDING__YES)
 		flow->entry = from;
-	if (answer != PLUG__HOLDING__UNSURE || locate->segment.len == 0) {
-		send_located(agent, from, &tuple, answer, NULL);
-		return;
-	}
-	if (!plug_track_decode(agent->driver, &locate->segment, &segment) ||
+	if (*answer != PLUG__HOLDING__UNSURE || question->segment.len == 0)
+		return true;
+	if (!plug_track_decode(agent->driver, &question->segment, &segment) ||
 	    !plug_tuple_equal(&segment.tuple, &tuple)) {
 		agent->counters[PLUG_AGENT_BAD]++;
-		return;
+		return false;
 	}
 	if (flow == NULL) {
 		probe(agent, now, from, &segment);
-		return;
+		return false;
 	}
 	flow->entry = from;
 	hand_to_host(agent, now, &segment);
+	return false;
+}
+
+static void
+relay_locate(
+    struct plug_track_agent *agent, uint32_t from, const Plug__Locate *locate)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Locate relayed = *locate;
+
+	relayed.n_relay_to = 0;
+	relayed.reply_to = from;
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOCATE;
+	notice.locate = &relayed;
+	for (size_t i = 0; i < locate->n_relay_to; i++)
+		plug_track_notify(agent->driver, locate->relay_to[i], &notice);
+}
+
+static void
+handle_locate(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Locate *locate)
+{
+	Plug__Answer answers[ANSWERS_PER_NOTICE], *list[ANSWERS_PER_NOTICE];
+	uint32_t entry = locate->reply_to != 0 ? locate->reply_to : from;
+	size_t count = 0;
+
+	relay_locate(agent, entry, locate);
+	for (size_t i = 0; i < locate->n_questions; i++) {
+		const Plug__Question *question = locate->questions[i];
+		Plug__Answer *answer = &answers[count];
+
+		plug__answer__init(answer);
+		if (!handle_question(
+			agent, now, entry, question, &answer->holding))
+			continue;
+		answer->tuple = question->tuple;
+		list[count++] = answer;
+		if (count == ANSWERS_PER_NOTICE) {
+			send_located(agent, entry, list, count);
+			count = 0;
+		}
+	}
+	send_located(agent, entry, list, count);
+}
+
+static void
+handle_inquire(struct plug_track_agent *agent, plug_time now, uint32_t from)
+{
+	struct plug_reported *reported = find_reported(agent, now, from);
+
+	reported->active = now;
+	reported->due = true;
 }
 
 /**
@@ -760,6 +827,9 @@
 	case PLUG__TRACK_NOTICE__BODY_LOCATE:
 		handle_locate(agent, now, from, notice->locate);
 		return;
+	case PLUG__TRACK_NOTICE__BODY_INQUIRE:
+		handle_inquire(agent, now, from);
+		return;
 	default:
 		agent->counters[PLUG_AGENT_BAD]++;
 		return;
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -86,6 +86,7 @@
 	while (entry->flows.oldest != NULL)
 		forget(entry, (struct plug_entry_flow *)entry->flows.oldest);
 	plug_conntable_finish(&entry->flows);
+	plug_questions_finish(&entry->questions);
 	plug_balance_finish(&entry->balance);
 }
 
@@ -320,20 +321,35 @@
 	}
 }
 
+/* Names the agent that was waited for. */
+static void
+log_undecided(
+    const struct plug_track_entry *entry, struct plug_entry_flow *flow)
+{
+	const struct plug_lookup_host *host =
+	    plug_lookup_undecided(flow->lookup);
+	const char *reason = "host_list_out_of_date";
+
+	if (!flow->lookup->owed)
+		reason = "nothing_asked";
+	else if (host != NULL)
+		reason = host->answered ? "agent_unsure" : "agent_silent";
+	flow->agent = host == NULL ? 0 : host->agent;
+	log_flow(entry, PLUG_LOG_INFO, "lookup_undecided", flow, reason);
+}
+
 static void
 step_lookup(
     struct plug_track_entry *entry, plug_time now, struct plug_entry_flow *flow)
 {
-	uint32_t agent = 0;
-
 	switch (plug_lookup_step(flow->lookup, now, entry->balance.fleet,
-	    entry->domain, entry->driver, &agent)) {
+	    entry->domain, entry->driver, &entry->questions)) {
 	case PLUG_LOOKUP_PENDING:
 		return;
 	case PLUG_LOOKUP_FOUND:
 		entry->counters[PLUG_ENTRY_FOUND]++;
 		flow->state = PLUG_ENTRY_OPEN;
-		flow->agent = agent;
+		flow->agent = flow->lookup->holder;
 		flow->host = 0;
 		log_flow(entry, PLUG_LOG_INFO, "flow_found", flow, "agent");
 		send_saved(entry, flow);
@@ -345,8 +361,7 @@
 		return;
 	case PLUG_LOOKUP_UNDECIDED:
 		entry->counters[PLUG_ENTRY_UNDECIDED]++;
-		log_flow(entry, PLUG_LOG_INFO, "lookup_undecided", flow,
-		    flow->lookup->owed ? "silence" : "nothing_asked");
+		log_undecided(entry, flow);
 		forget(entry, flow);
 		return;
 	}
@@ -515,26 +530,26 @@
 }
 
 static void
-handle_located(struct plug_track_entry *entry, plug_time now, uint32_t from,
-    const Plug__Located *located)
+handle_answer(struct plug_track_entry *entry, plug_time now, uint32_t from,
+    const Plug__Answer *answer)
 {
 	struct plug_entry_flow *flow;
 	struct plug_segment segment;
 	struct plug_tuple tuple;
 
-	if (!plug_tuple_read(located->tuple, &tuple))
+	if (!plug_tuple_read(answer->tuple, &tuple))
 		return;
 	flow = plug_conntable_find(&entry->flows, &tuple);
 	if (flow == NULL)
 		return;
 	if (flow->state == PLUG_ENTRY_LOCATING) {
-		plug_lookup_answer(flow->lookup, from, located->holding);
+		plug_lookup_answer(flow->lookup, from, answer->holding);
 		step_lookup(entry, now, flow);
 		return;
 	}
-	if (located->holding != PLUG__HOLDING__NO || flow->agent != from ||
+	if (answer->holding != PLUG__HOLDING__NO || flow->agent != from ||
 	    flow->state == PLUG_ENTRY_ENDED ||
-	    !plug_track_decode(entry->driver, &located->segment, &segment) ||
+	    !plug_track_decode(entry->driver, &answer->segment, &segment) ||
 	    plug_segment_opens(&segment))
 		return;
 	/* This host has returned a segment of the flow. */
@@ -544,6 +559,14 @@
 	step_lookup(entry, now, flow);
 }
 
+static void
+handle_located(struct plug_track_entry *entry, plug_time now, uint32_t from,
+    const Plug__Located *located)
+{
+	for (size_t i = 0; i < located->n_answers; i++)
+		handle_answer(entry, now, from, located->answers[i]);
+}
+
 static void
 handle_lost(struct plug_track_entry *entry, plug_time now, uint32_t from,
     const Plug__Lost *lost)
@@ -620,8 +643,30 @@
 plug_track_entry_adopt(
     struct plug_track_entry *entry, plug_time now, struct plug_fleet *fleet)
 {
-	if (plug_balance_adopt(&entry->balance, fleet))
-		step_lookups(entry, now);
+	if (!plug_balance_adopt(&entry->balance, fleet))
+		return;
+	for (struct plug_lookup *lookup = entry->lookups; lookup != NULL;
+	     lookup = lookup->next)
+		lookup->stale = true;
+	step_lookups(entry, now);
+}
+
+/* An agent that has not answered gets no new flow, and so has no reason to
+ * report: it is asked. */
+static void
+inquire(struct plug_track_entry *entry, plug_time now)
+{
+	const struct plug_fleet *fleet = entry->balance.fleet;
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Inquire question = PLUG__INQUIRE__INIT;
+
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_INQUIRE;
+	notice.inquire = &question;
+	for (unsigned int i = 0; fleet != NULL && i < fleet->host_count; i++) {
+		if (plug_target_silent(&entry->balance.targets[i], now))
+			plug_track_notify(
+			    entry->driver, fleet->hosts[i].address, &notice);
+	}
 }
 
 static plug_time
@@ -660,17 +705,25 @@
  * @entry: entry
  * @now: time
  *
+ * To be called after each round of segments and notices, too: it sends the
+ * questions that these have raised.
+ *
  * Return: time of the next call, at the latest.
  */
 plug_time
 plug_track_entry_tick(struct plug_track_entry *entry, plug_time now)
 {
-	step_lookups(entry, now);
+	if (now >= entry->next_step) {
+		entry->next_step = now + LOOKUP_TICK;
+		step_lookups(entry, now);
+	}
+	plug_questions_send(&entry->questions, entry->driver);
 	if (now >= entry->next_sweep) {
 		entry->next_sweep = now + IDLE_TICK;
+		inquire(entry, now);
 		sweep(entry, now);
 	}
-	return entry->lookups != NULL ? now + LOOKUP_TICK : entry->next_sweep;
+	return entry->lookups != NULL ? entry->next_step : entry->next_sweep;
 }
 
 /**
--- a/libplantainlug/track/entry.h
+++ b/libplantainlug/track/entry.h
@@ -4,6 +4,7 @@
 #include "action.h"
 #include "balance.h"
 #include "conntable.h"
+#include "questions.h"
 
 struct plug_lookup;
 
@@ -59,6 +60,8 @@
  * @flows: flows by tuple
  * @balance: hosts and their load
  * @lookups: lookups in progress
+ * @questions: questions to agents that share the next datagrams
+ * @next_step: time when lookups go on
  * @next_sweep: time when old flows are looked for again
  * @counters: by enum plug_entry_counter
  */
@@ -68,6 +71,8 @@
 	struct plug_conntable flows;
 	struct plug_balance balance;
 	struct plug_lookup *lookups;
+	struct plug_questions questions;
+	plug_time next_step;
 	plug_time next_sweep;
 	uint64_t counters[PLUG_ENTRY_COUNTERS];
 };
--- a/libplantainlug/track/fleet.c
+++ b/libplantainlug/track/fleet.c
@@ -184,7 +184,8 @@
 	fleet->config = plug_config_reference(config);
 	fleet->host_count = host_count;
 	fleet->hosts = calloc(host_count + 1, sizeof(*fleet->hosts));
-	if (fleet->hosts == NULL) {
+	fleet->agents = calloc(host_count + 1, sizeof(*fleet->agents));
+	if (fleet->hosts == NULL || fleet->agents == NULL) {
 		plug_fleet_release(fleet);
 		return NULL;
 	}
@@ -215,6 +216,7 @@
 		return;
 	plug_config_release(fleet->config);
 	free(fleet->hosts);
+	free(fleet->agents);
 	free(fleet);
 }
 
@@ -240,8 +242,25 @@
 	return 0;
 }
 
+/* Its hosts are ordered by address. */
+static void
+list_agents(struct plug_fleet *fleet)
+{
+	fleet->agent_count = 0;
+	for (unsigned int i = 0; i < fleet->host_count; i++) {
+		const struct plug_fleet_host *host = &fleet->hosts[i];
+
+		if (i > 0 && host[-1].address == host->address)
+			continue;
+		fleet->agents[fleet->agent_count++] = (struct plug_fleet_agent){
+			.address = host->address,
+			.domain = host->domain,
+		};
+	}
+}
+
 /**
- * plug_fleet_complete() - put the hosts in order and compare their starts
+ * plug_fleet_complete() - order the hosts, compare their starts, list machines
  * @fleet: snapshot that no other thread has yet; its hosts are filled in
  *
  * A host that has died without a word stays listed for seconds, beside the one
@@ -259,6 +278,7 @@
 		    fleet->hosts[i].address == next->address &&
 		    fleet->hosts[i].born < next->born;
 	}
+	list_agents(fleet);
 	qsort(fleet->hosts, fleet->host_count, sizeof(*fleet->hosts),
 	    compare_hosts);
 }
--- a/libplantainlug/track/fleet.h
+++ b/libplantainlug/track/fleet.h
@@ -101,6 +101,16 @@
 	uint64_t born;
 };
 
+/**
+ * struct plug_fleet_agent - a machine of the host list
+ * @address: address of its agent
+ * @domain: hash of its failure domain's name
+ */
+struct plug_fleet_agent {
+	uint32_t address;
+	uint32_t domain;
+};
+
 /**
  * struct plug_fleet - immutable snapshot that a traffic thread acts on
  * @references: plug_fleet_reference() adds one, plug_fleet_release() takes one
@@ -111,6 +121,8 @@
  *   show is gone
  * @host_count: length of @hosts
  * @hosts: hosts, ordered by id
+ * @agent_count: length of @agents
+ * @agents: machines of the hosts, ordered by address, each once
  * @out_count: length of @out
  * @out: hashes of the domains that are out of service
  */
@@ -122,6 +134,8 @@
 	bool trusted;
 	unsigned int host_count;
 	struct plug_fleet_host *hosts;
+	unsigned int agent_count;
+	struct plug_fleet_agent *agents;
 	unsigned int out_count;
 	uint32_t out[PLUG_DOMAINS_OUT_MAX];
 };
--- a/libplantainlug/track/lookup.c
+++ b/libplantainlug/track/lookup.c
@@ -7,8 +7,8 @@
  * 0.15 of a core needs a few more while many flows are looked for. */
 #define ASK_INTERVAL (40 * PLUG_MSEC)
 
-/* The own domain is asked first; the others when it has not answered by then.
- */
+/* The own domain is asked first; the others when all of it has answered, or has
+ * not by then. */
 #define WIDEN_TIME (25 * PLUG_MSEC)
 
 /* Agents that do not answer are asked at growing intervals, up to this one. */
@@ -29,6 +29,21 @@
  * one count as a broken flow. */
 #define PROBES_WITHOUT_ANSWER 2
 
+/* Hosts that are asked by one notice: 240 bytes beside the segment. */
+#define PROBES_PER_NOTICE 60
+
+/* A probe that has been without an answer for this long is repeated: a host
+ * that was just starting has not read it. A living host returns it within a few
+ * milliseconds, and agents take 250 ms to tell that one is dead. */
+#define PROBE_INTERVAL (300 * PLUG_MSEC)
+
+/* An agent that has left so many questions unanswered, 0.3 s, and whose host is
+ * no longer listed, is gone. One question or its answer may be lost. */
+#define SILENT_ASKS 4
+
+/* Answers are acted on when the last one is there, or after this time. */
+#define STEP_INTERVAL (10 * PLUG_MSEC)
+
 /**
  * plug_lookup_create() - start looking for the host of a flow
  * @flow: flow
@@ -46,7 +61,9 @@
 	lookup->flow = flow;
 	lookup->started = now;
 	lookup->asked = now;
+	lookup->probed = now;
 	lookup->interval = ASK_INTERVAL;
+	lookup->stale = true;
 	return lookup;
 }
 
@@ -88,14 +105,48 @@
 		lookup->saved_count++;
 }
 
+/* First host whose agent isn't below this one; @count when there is none. */
+static unsigned int
+agent_position(const struct plug_lookup *lookup, uint32_t agent)
+{
+	unsigned int low = 0, high = lookup->count;
+
+	while (low < high) {
+		unsigned int middle = low + (high - low) / 2;
+
+		if (lookup->hosts[middle].agent < agent)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
 static struct plug_lookup_host *
 find_agent(const struct plug_lookup *lookup, uint32_t agent)
 {
-	for (unsigned int i = 0; i < lookup->count; i++) {
-		if (lookup->hosts[i].agent == agent)
-			return &lookup->hosts[i];
-	}
-	return NULL;
+	unsigned int i = agent_position(lookup, agent);
+
+	return i < lookup->count && lookup->hosts[i].agent == agent
+		   ? &lookup->hosts[i]
+		   : NULL;
+}
+
+/* Return: the new host, or NULL when memory ran out. */
+static struct plug_lookup_host *
+add_agent(struct plug_lookup *lookup, uint32_t agent)
+{
+	unsigned int i = agent_position(lookup, agent);
+	struct plug_lookup_host *hosts =
+	    realloc(lookup->hosts, (lookup->count + 1) * sizeof(*hosts));
+
+	if (hosts == NULL)
+		return NULL;
+	lookup->hosts = hosts;
+	memmove(hosts + i + 1, hosts + i, (lookup->count - i) * sizeof(*hosts));
+	lookup->count++;
+	hosts[i] = (struct plug_lookup_host){ .agent = agent };
+	return &hosts[i];
 }
 
 /**
@@ -110,17 +161,16 @@
 {
 	struct plug_lookup_host *host = find_agent(lookup, agent);
 
-	if (host == NULL) {
-		host =
-		    realloc(lookup->hosts, (lookup->count + 1) * sizeof(*host));
-		if (host == NULL)
-			return;
-		lookup->hosts = host;
-		host += lookup->count++;
-		*host = (struct plug_lookup_host){ .agent = agent };
-	}
+	if (host == NULL)
+		host = add_agent(lookup, agent);
+	else if (!host->answered && lookup->silent > 0)
+		lookup->silent--;
+	if (host == NULL)
+		return;
 	host->answered = true;
-	host->holding = holding;
+	host->holding = (uint8_t)holding;
+	if (holding == PLUG__HOLDING__YES)
+		lookup->holder = agent;
 }
 
 /**
@@ -136,49 +186,115 @@
 	return host != NULL && host->probed;
 }
 
+/* Takes over a new host list: hosts that were asked stay. */
 static void
-add_hosts(
+merge_list(
     struct plug_lookup *lookup, const struct plug_fleet *fleet, uint32_t domain)
 {
-	struct plug_lookup_host *hosts;
+	const struct plug_fleet_agent *agent = fleet->agents;
+	const struct plug_fleet_agent *end = agent + fleet->agent_count;
+	unsigned int i = 0, count = 0;
+	struct plug_lookup_host *hosts =
+	    malloc((lookup->count + fleet->agent_count + 1) * sizeof(*hosts));
 
-	hosts = realloc(lookup->hosts,
-	    (lookup->count + fleet->host_count + 1) * sizeof(*hosts));
 	if (hosts == NULL)
 		return;
-	lookup->hosts = hosts;
-	for (unsigned int i = 0; i < fleet->host_count; i++) {
-		const struct plug_fleet_host *host = &fleet->hosts[i];
-
-		if ((!lookup->wide && host->domain != domain) ||
-		    find_agent(lookup, host->address) != NULL)
+	while (i < lookup->count || agent < end) {
+		if (i < lookup->count &&
+		    (agent == end ||
+			lookup->hosts[i].agent <= agent->address)) {
+			hosts[count] = lookup->hosts[i++];
+			hosts[count].listed =
+			    agent < end && agent->address == hosts[count].agent;
+			if (hosts[count++].listed)
+				agent++;
 			continue;
-		hosts[lookup->count++] = (struct plug_lookup_host){
-			.agent = host->address,
-		};
+		}
+		if (lookup->wide || agent->domain == domain)
+			hosts[count++] = (struct plug_lookup_host){
+				.agent = agent->address,
+				.listed = true,
+			};
+		agent++;
 	}
+	free(lookup->hosts);
+	lookup->hosts = hosts;
+	lookup->count = count;
+	lookup->stale = false;
 }
 
 static void
-ask(struct plug_lookup *lookup, struct plug_lookup_host *host, bool probe,
-    const struct plug_track_driver *driver)
+ask(const struct plug_lookup *lookup, struct plug_lookup_host *host,
+    struct plug_questions *questions)
+{
+	const struct plug_question question = {
+		.agent = host->agent,
+		.ack = lookup->ack,
+		.tuple = lookup->flow->conn.tuple,
+	};
+
+	if (host->asked < UINT8_MAX)
+		host->asked++;
+	plug_questions_add(questions, &question);
+}
+
+/* Asks hosts by the first segment that was kept. The agent of the first one
+ * hands it on to the others: a segment for each of many hosts would fill the
+ * entry's link, which may be a hundred times slower than theirs. */
+static void
+probe(struct plug_lookup *lookup, struct plug_lookup_host *const *hosts,
+    unsigned int count, const struct plug_track_driver *driver)
 {
 	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
 	Plug__Locate locate = PLUG__LOCATE__INIT;
+	Plug__Question question = PLUG__QUESTION__INIT, *list = &question;
 	Plug__Tuple tuple = PLUG__TUPLE__INIT;
+	uint32_t others[PROBES_PER_NOTICE];
 
+	if (count == 0 || lookup->saved_count == 0)
+		return;
 	plug_tuple_write(&lookup->flow->conn.tuple, &tuple);
-	locate.tuple = &tuple;
-	locate.ack = lookup->ack;
-	if (probe && lookup->saved_count > 0) {
-		locate.segment = plug_track_bytes((struct plug_str){
-		    (const char *)lookup->saved[0], lookup->saved_len[0] });
-		host->probed = true;
+	question.tuple = &tuple;
+	question.ack = lookup->ack;
+	question.segment = plug_track_bytes((struct plug_str){
+	    (const char *)lookup->saved[0], lookup->saved_len[0] });
+	locate.n_questions = 1;
+	locate.questions = &list;
+	for (unsigned int i = 0; i < count; i++) {
+		hosts[i]->probed = true;
+		if (i > 0)
+			others[i - 1] = hosts[i]->agent;
 	}
+	locate.n_relay_to = count - 1;
+	locate.relay_to = others;
 	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOCATE;
 	notice.locate = &locate;
-	host->asked++;
-	plug_track_notify(driver, host->agent, &notice);
+	plug_track_notify(driver, hosts[0]->agent, &notice);
+}
+
+static bool
+is_gone(const struct plug_lookup_host *host)
+{
+	return !host->answered && !host->listed && host->asked >= SILENT_ASKS;
+}
+
+/**
+ * plug_lookup_undecided() - an agent that has not said yes or no
+ * @lookup: lookup
+ *
+ * Return: the first one, or NULL when there is none.
+ */
+const struct plug_lookup_host *
+plug_lookup_undecided(const struct plug_lookup *lookup)
+{
+	for (unsigned int i = 0; i < lookup->count; i++) {
+		const struct plug_lookup_host *host = &lookup->hosts[i];
+
+		if (!is_gone(host) &&
+		    (!host->answered || host->holding == PLUG__HOLDING__UNSURE))
+			return host;
+	}
+	return NULL;
 }
 
 struct tally {
@@ -188,7 +304,7 @@
 };
 
 static struct tally
-count_answers(const struct plug_lookup *lookup)
+count_answers(struct plug_lookup *lookup)
 {
 	struct tally tally = { 0, 0, 0 };
 
@@ -197,26 +313,46 @@
 
 		if (host->probed)
 			tally.probed++;
+		if (is_gone(host))
+			continue;
 		if (!host->answered)
 			tally.silent++;
 		else if (host->holding == PLUG__HOLDING__UNSURE)
 			tally.unsure++;
 	}
+	lookup->silent = tally.silent;
 	return tally;
 }
 
-/* Hosts whose agents can't tell are asked by a segment: all of them when every
- * other agent has answered, else only as many as can do no harm. */
 static void
-probe_unsure(struct plug_lookup *lookup, struct tally tally,
-    const struct plug_track_driver *driver)
+repeat_probes(struct plug_lookup *lookup, plug_time now)
 {
-	unsigned int allowed =
-	    tally.silent == 0 ? lookup->count : PROBES_WITHOUT_ANSWER;
-
-	/* A later lookup begins with other hosts. */
-	unsigned int first = (unsigned int)(lookup->started / LOOKUP_TIME);
+	if (now - lookup->probed < PROBE_INTERVAL)
+		return;
+	lookup->probed = now;
+	lookup->probe_round++;
+	for (unsigned int i = 0; i < lookup->count; i++)
+		lookup->hosts[i].probed = false;
+}
 
+/* Hosts whose agents can't tell are asked by a segment: all of them, again and
+ * again, when every other agent has answered, else only as many as can do no
+ * harm, and once. */
+static void
+probe_unsure(struct plug_lookup *lookup, plug_time now, struct tally tally,
+    const struct plug_track_driver *driver)
+{
+	struct plug_lookup_host *group[PROBES_PER_NOTICE];
+	unsigned int allowed = PROBES_WITHOUT_ANSWER, count = 0;
+	/* Flows, later lookups and repetitions begin with other hosts. */
+	uint64_t first = plug_tuple_hash(&lookup->flow->conn.tuple) +
+			 (uint64_t)(lookup->started / LOOKUP_TIME) +
+			 lookup->probe_round;
+
+	if (tally.silent == 0) {
+		allowed = lookup->count;
+		repeat_probes(lookup, now);
+	}
 	for (unsigned int i = 0; i < lookup->count; i++) {
 		struct plug_lookup_host *host =
 		    &lookup->hosts[(first + i) % lookup->count];
@@ -225,14 +361,19 @@
 		    host->holding != PLUG__HOLDING__UNSURE)
 			continue;
 		if (tally.probed++ >= allowed)
-			return;
-		ask(lookup, host, true, driver);
+			break;
+		group[count++] = host;
+		if (count == PROBES_PER_NOTICE) {
+			probe(lookup, group, count, driver);
+			count = 0;
+		}
 	}
+	probe(lookup, group, count, driver);
 }
 
 static void
-ask_silent(struct plug_lookup *lookup, plug_time now,
-    const struct plug_track_driver *driver)
+ask_silent(
+    struct plug_lookup *lookup, plug_time now, struct plug_questions *questions)
 {
 	bool due = now - lookup->asked >= lookup->interval;
 
@@ -240,7 +381,7 @@
 		struct plug_lookup_host *host = &lookup->hosts[i];
 
 		if (!host->answered && (host->asked == 0 || due))
-			ask(lookup, host, false, driver);
+			ask(lookup, host, questions);
 	}
 	if (!due)
 		return;
@@ -249,6 +390,28 @@
 		lookup->interval *= 2;
 }
 
+/* Every host that may hold the flow has said no. That holds only for an exact
+ * host list, read after the lookup began. */
+static enum plug_lookup_verdict
+conclude(struct plug_lookup *lookup, const struct plug_fleet *fleet,
+    const struct plug_track_driver *driver)
+{
+	static const struct plug_track_action refresh = {
+		.kind = PLUG_TRACK_REFRESH,
+	};
+
+	if (!lookup->owed)
+		return PLUG_LOOKUP_UNDECIDED;
+	if (fleet->listed >= lookup->started)
+		return fleet->trusted ? PLUG_LOOKUP_ABSENT
+				      : PLUG_LOOKUP_UNDECIDED;
+	if (!lookup->refreshed) {
+		lookup->refreshed = true;
+		plug_track_emit(driver, &refresh);
+	}
+	return PLUG_LOOKUP_PENDING;
+}
+
 /**
  * plug_lookup_step() - go on after an answer, a new host list or some time
  * @lookup: lookup
@@ -256,56 +419,45 @@
  * @fleet: snapshot in force
  * @domain: hash of the own domain's name
  * @driver: handlers
- * @agent: receives the machine that has the flow, for PLUG_LOOKUP_FOUND
+ * @questions: receives the questions to send
  *
  * A flow is absent only when an exact host list, read after the lookup began,
  * shows no host that has not said so: the host of a flow was listed before the
  * flow was opened.
  *
- * Return: the verdict; the lookup is over unless it is PLUG_LOOKUP_PENDING.
+ * Return: the verdict; the lookup is over unless it is PLUG_LOOKUP_PENDING. For
+ * PLUG_LOOKUP_FOUND, @lookup->holder is the machine that has the flow.
  */
 enum plug_lookup_verdict
 plug_lookup_step(struct plug_lookup *lookup, plug_time now,
     const struct plug_fleet *fleet, uint32_t domain,
-    const struct plug_track_driver *driver, uint32_t *agent)
+    const struct plug_track_driver *driver, struct plug_questions *questions)
 {
 	struct tally tally;
 
-	for (unsigned int i = 0; i < lookup->count; i++) {
-		if (lookup->hosts[i].holding == PLUG__HOLDING__YES) {
-			*agent = lookup->hosts[i].agent;
-			if (now - lookup->started > SAVED_TIME)
-				lookup->saved_count = 0;
-			return PLUG_LOOKUP_FOUND;
-		}
+	if (lookup->holder != 0) {
+		if (now - lookup->started > SAVED_TIME)
+			lookup->saved_count = 0;
+		return PLUG_LOOKUP_FOUND;
 	}
 	if (now - lookup->started >= LOOKUP_TIME || fleet == NULL)
 		return PLUG_LOOKUP_UNDECIDED;
-	add_hosts(lookup, fleet, domain);
+	if (!lookup->stale && lookup->silent > 0 && now < lookup->next_step)
+		return PLUG_LOOKUP_PENDING;
+	lookup->next_step = now + STEP_INTERVAL;
+	if (lookup->stale)
+		merge_list(lookup, fleet, domain);
 	tally = count_answers(lookup);
-	if (!lookup->wide && (tally.silent + tally.unsure == 0 ||
-				 now - lookup->started >= WIDEN_TIME)) {
+	if (!lookup->wide &&
+	    (tally.silent == 0 || now - lookup->started >= WIDEN_TIME)) {
 		lookup->wide = true;
-		add_hosts(lookup, fleet, domain);
+		merge_list(lookup, fleet, domain);
 	}
-	ask_silent(lookup, now, driver);
+	ask_silent(lookup, now, questions);
 	tally = count_answers(lookup);
 	if (tally.unsure > 0 && lookup->wide && lookup->probing)
-		probe_unsure(lookup, tally, driver);
+		probe_unsure(lookup, now, tally, driver);
 	if (tally.silent + tally.unsure > 0 || !lookup->wide)
 		return PLUG_LOOKUP_PENDING;
-	if (!lookup->owed)
-		return PLUG_LOOKUP_UNDECIDED;
-	if (fleet->listed >= lookup->started)
-		return fleet->trusted ? PLUG_LOOKUP_ABSENT
-				      : PLUG_LOOKUP_UNDECIDED;
-	if (!lookup->refreshed) {
-		const struct plug_track_action action = {
-			.kind = PLUG_TRACK_REFRESH,
-		};
-
-		lookup->refreshed = true;
-		plug_track_emit(driver, &action);
-	}
-	return PLUG_LOOKUP_PENDING;
+	return conclude(lookup, fleet, driver);
 }
--- a/libplantainlug/track/lookup.h
+++ b/libplantainlug/track/lookup.h
@@ -8,17 +8,19 @@
 /**
  * struct plug_lookup_host - one host that is asked for a flow
  * @agent: address of its machine
- * @asked: questions sent
+ * @asked: questions sent; stays at its largest value
+ * @holding: last answer, of type Plug__Holding
  * @answered: the agent has answered
- * @holding: last answer
  * @probed: the host itself was asked, by a segment of the flow
+ * @listed: the host list in force shows it
  */
 struct plug_lookup_host {
 	uint32_t agent;
-	unsigned int asked;
+	uint8_t asked;
+	uint8_t holding;
 	bool answered;
-	Plug__Holding holding;
 	bool probed;
+	bool listed;
 };
 
 enum plug_lookup_verdict {
@@ -34,7 +36,11 @@
  * @flow: flow; owned by the entry
  * @started: time of the first question
  * @asked: time of the last round of questions
+ * @probed: time when hosts were first, or again, asked by a segment
+ * @probe_round: repetitions of these probes
  * @interval: time until the next round
+ * @next_step: what is to be done now and then is due at this time
+ * @stale: the host list has changed since @hosts were taken from it
  * @wide: hosts outside the own domain are asked, too
  * @refreshed: an exact host list was asked for
  * @owed: the client waits for an answer, so that it is told when no host has
@@ -42,8 +48,10 @@
  * @probing: a host may be asked by a segment: not by a mere acknowledgement,
  *   which no host answers
  * @ack: last acknowledgement of the client
+ * @silent: hosts that have not answered and may still
+ * @holder: agent whose host has the flow, or 0
  * @count: length of @hosts
- * @hosts: hosts that are asked
+ * @hosts: hosts that are asked, ordered by agent
  * @saved_count: segments kept
  * @saved_len: their lengths
  * @saved: their bytes
@@ -53,12 +61,18 @@
 	struct plug_entry_flow *flow;
 	plug_time started;
 	plug_time asked;
+	plug_time probed;
+	unsigned int probe_round;
 	plug_time interval;
+	plug_time next_step;
+	bool stale;
 	bool wide;
 	bool refreshed;
 	bool owed;
 	bool probing;
 	uint32_t ack;
+	unsigned int silent;
+	uint32_t holder;
 	unsigned int count;
 	struct plug_lookup_host *hosts;
 	unsigned int saved_count;
@@ -74,8 +88,10 @@
 void plug_lookup_answer(
     struct plug_lookup *lookup, uint32_t agent, Plug__Holding holding);
 bool plug_lookup_probed(const struct plug_lookup *lookup, uint32_t agent);
+const struct plug_lookup_host *
+plug_lookup_undecided(const struct plug_lookup *lookup);
 enum plug_lookup_verdict plug_lookup_step(struct plug_lookup *lookup,
     plug_time now, const struct plug_fleet *fleet, uint32_t domain,
-    const struct plug_track_driver *driver, uint32_t *agent);
+    const struct plug_track_driver *driver, struct plug_questions *questions);
 
 #endif
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &plug__refused__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   plug__question__init
+                     (Plug__Question         *message)
+{
+  static const Plug__Question init_value = PLUG__QUESTION__INIT;
+  *message = init_value;
+}
+size_t plug__question__get_packed_size
+                     (const Plug__Question *message)
+{
+  assert(message->base.descriptor == &plug__question__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t plug__question__pack
+                     (const Plug__Question *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &plug__question__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t plug__question__pack_to_buffer
+                     (const Plug__Question *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &plug__question__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Plug__Question *
+       plug__question__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Plug__Question *)
+     protobuf_c_message_unpack (&plug__question__descriptor,
+                                allocator, len, data);
+}
+void   plug__question__free_unpacked
+                     (Plug__Question *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &plug__question__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   plug__locate__init
                      (Plug__Locate         *message)
 {
@@ -187,6 +232,51 @@
   assert(message->base.descriptor == &plug__locate__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   plug__answer__init
+                     (Plug__Answer         *message)
+{
+  static const Plug__Answer init_value = PLUG__ANSWER__INIT;
+  *message = init_value;
+}
+size_t plug__answer__get_packed_size
+                     (const Plug__Answer *message)
+{
+  assert(message->base.descriptor == &plug__answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t plug__answer__pack
+                     (const Plug__Answer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &plug__answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t plug__answer__pack_to_buffer
+                     (const Plug__Answer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &plug__answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Plug__Answer *
+       plug__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Plug__Answer *)
+     protobuf_c_message_unpack (&plug__answer__descriptor,
+                                allocator, len, data);
+}
+void   plug__answer__free_unpacked
+                     (Plug__Answer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &plug__answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   plug__located__init
                      (Plug__Located         *message)
 {
@@ -322,6 +412,51 @@
   assert(message->base.descriptor == &plug__load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   plug__inquire__init
+                     (Plug__Inquire         *message)
+{
+  static const Plug__Inquire init_value = PLUG__INQUIRE__INIT;
+  *message = init_value;
+}
+size_t plug__inquire__get_packed_size
+                     (const Plug__Inquire *message)
+{
+  assert(message->base.descriptor == &plug__inquire__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t plug__inquire__pack
+                     (const Plug__Inquire *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &plug__inquire__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t plug__inquire__pack_to_buffer
+                     (const Plug__Inquire *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &plug__inquire__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Plug__Inquire *
+       plug__inquire__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Plug__Inquire *)
+     protobuf_c_message_unpack (&plug__inquire__descriptor,
+                                allocator, len, data);
+}
+void   plug__inquire__free_unpacked
+                     (Plug__Inquire *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &plug__inquire__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   plug__track_notice__init
                      (Plug__TrackNotice         *message)
 {
@@ -624,7 +759,7 @@
   (ProtobufCMessageInit) plug__refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__locate__field_descriptors[3] =
+static const ProtobufCFieldDescriptor plug__question__field_descriptors[3] =
 {
   {
     "tuple",
@@ -632,7 +767,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Plug__Locate, tuple),
+    offsetof(Plug__Question, tuple),
     &plug__tuple__descriptor,
     NULL,
     0,             /* flags */
@@ -644,7 +779,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Plug__Locate, ack),
+    offsetof(Plug__Question, ack),
     NULL,
     NULL,
     0,             /* flags */
@@ -656,18 +791,82 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Plug__Locate, segment),
+    offsetof(Plug__Question, segment),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned plug__locate__field_indices_by_name[] = {
+static const unsigned plug__question__field_indices_by_name[] = {
   1,   /* field[1] = ack */
   2,   /* field[2] = segment */
   0,   /* field[0] = tuple */
 };
+static const ProtobufCIntRange plug__question__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor plug__question__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "plug.Question",
+  "Question",
+  "Plug__Question",
+  "plug",
+  sizeof(Plug__Question),
+  3,
+  plug__question__field_descriptors,
+  plug__question__field_indices_by_name,
+  1,  plug__question__number_ranges,
+  (ProtobufCMessageInit) plug__question__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor plug__locate__field_descriptors[3] =
+{
+  {
+    "questions",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Plug__Locate, n_questions),
+    offsetof(Plug__Locate, questions),
+    &plug__question__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_to",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Plug__Locate, n_relay_to),
+    offsetof(Plug__Locate, relay_to),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply_to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Locate, reply_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned plug__locate__field_indices_by_name[] = {
+  0,   /* field[0] = questions */
+  1,   /* field[1] = relay_to */
+  2,   /* field[2] = reply_to */
+};
 static const ProtobufCIntRange plug__locate__number_ranges[1 + 1] =
 {
   { 1, 0 },
@@ -688,7 +887,7 @@
   (ProtobufCMessageInit) plug__locate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__located__field_descriptors[3] =
+static const ProtobufCFieldDescriptor plug__answer__field_descriptors[3] =
 {
   {
     "tuple",
@@ -696,7 +895,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Plug__Located, tuple),
+    offsetof(Plug__Answer, tuple),
     &plug__tuple__descriptor,
     NULL,
     0,             /* flags */
@@ -708,7 +907,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Plug__Located, holding),
+    offsetof(Plug__Answer, holding),
     &plug__holding__descriptor,
     NULL,
     0,             /* flags */
@@ -720,23 +919,61 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Plug__Located, segment),
+    offsetof(Plug__Answer, segment),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned plug__located__field_indices_by_name[] = {
+static const unsigned plug__answer__field_indices_by_name[] = {
   1,   /* field[1] = holding */
   2,   /* field[2] = segment */
   0,   /* field[0] = tuple */
 };
-static const ProtobufCIntRange plug__located__number_ranges[1 + 1] =
+static const ProtobufCIntRange plug__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
+const ProtobufCMessageDescriptor plug__answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "plug.Answer",
+  "Answer",
+  "Plug__Answer",
+  "plug",
+  sizeof(Plug__Answer),
+  3,
+  plug__answer__field_descriptors,
+  plug__answer__field_indices_by_name,
+  1,  plug__answer__number_ranges,
+  (ProtobufCMessageInit) plug__answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor plug__located__field_descriptors[1] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Plug__Located, n_answers),
+    offsetof(Plug__Located, answers),
+    &plug__answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned plug__located__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+};
+static const ProtobufCIntRange plug__located__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
 const ProtobufCMessageDescriptor plug__located__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -745,7 +982,7 @@
   "Plug__Located",
   "plug",
   sizeof(Plug__Located),
-  3,
+  1,
   plug__located__field_descriptors,
   plug__located__field_indices_by_name,
   1,  plug__located__number_ranges,
@@ -880,7 +1117,25 @@
   (ProtobufCMessageInit) plug__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__track_notice__field_descriptors[6] =
+#define plug__inquire__field_descriptors NULL
+#define plug__inquire__field_indices_by_name NULL
+#define plug__inquire__number_ranges NULL
+const ProtobufCMessageDescriptor plug__inquire__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "plug.Inquire",
+  "Inquire",
+  "Plug__Inquire",
+  "plug",
+  sizeof(Plug__Inquire),
+  0,
+  plug__inquire__field_descriptors,
+  plug__inquire__field_indices_by_name,
+  0,  plug__inquire__number_ranges,
+  (ProtobufCMessageInit) plug__inquire__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor plug__track_notice__field_descriptors[7] =
 {
   {
     "open",
@@ -954,8 +1209,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "inquire",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Plug__TrackNotice, body_case),
+    offsetof(Plug__TrackNotice, inquire),
+    &plug__inquire__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__track_notice__field_indices_by_name[] = {
+  6,   /* field[6] = inquire */
   5,   /* field[5] = load */
   2,   /* field[2] = locate */
   3,   /* field[3] = located */
@@ -966,7 +1234,7 @@
 static const ProtobufCIntRange plug__track_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor plug__track_notice__descriptor =
 {
@@ -976,7 +1244,7 @@
   "Plug__TrackNotice",
   "plug",
   sizeof(Plug__TrackNotice),
-  6,
+  7,
   plug__track_notice__field_descriptors,
   plug__track_notice__field_indices_by_name,
   1,  plug__track_notice__number_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -18,10 +18,13 @@
 typedef struct Plug__Tuple Plug__Tuple;
 typedef struct Plug__Open Plug__Open;
 typedef struct Plug__Refused Plug__Refused;
+typedef struct Plug__Question Plug__Question;
 typedef struct Plug__Locate Plug__Locate;
+typedef struct Plug__Answer Plug__Answer;
 typedef struct Plug__Located Plug__Located;
 typedef struct Plug__Lost Plug__Lost;
 typedef struct Plug__Load Plug__Load;
+typedef struct Plug__Inquire Plug__Inquire;
 typedef struct Plug__TrackNotice Plug__TrackNotice;
 
 
@@ -118,37 +121,66 @@
 
 
 /*
- * Locate asks an agent whether its host holds a flow. ack is what the client
+ * Question asks an agent whether its host holds a flow. ack is what the client
  * has acknowledged; it tells two hosts apart that have answered the same SYN.
  * With a segment, an agent that can't tell hands it to the host, which returns
  * what it doesn't hold.
  */
-struct  Plug__Locate
+struct  Plug__Question
 {
   ProtobufCMessage base;
   Plug__Tuple *tuple;
   uint32_t ack;
   ProtobufCBinaryData segment;
 };
+#define PLUG__QUESTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__question__descriptor) \
+    , NULL, 0, {0,NULL} }
+
+
+/*
+ * With relay_to, the agent hands the questions on to the agents on these
+ * machines, too. They answer to reply_to, when it is set, not to the sender.
+ */
+struct  Plug__Locate
+{
+  ProtobufCMessage base;
+  size_t n_questions;
+  Plug__Question **questions;
+  size_t n_relay_to;
+  uint32_t *relay_to;
+  uint32_t reply_to;
+};
 #define PLUG__LOCATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__locate__descriptor) \
-    , NULL, 0, {0,NULL} }
+    , 0,NULL, 0,NULL, 0 }
 
 
 /*
- * Located answers a Locate, or tells unasked that a host has returned a
+ * Answer answers a Question, or tells unasked that a host has returned a
  * segment, which is then included.
  */
-struct  Plug__Located
+struct  Plug__Answer
 {
   ProtobufCMessage base;
   Plug__Tuple *tuple;
   Plug__Holding holding;
   ProtobufCBinaryData segment;
 };
+#define PLUG__ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__answer__descriptor) \
+    , NULL, PLUG__HOLDING__UNSURE, {0,NULL} }
+
+
+struct  Plug__Located
+{
+  ProtobufCMessage base;
+  size_t n_answers;
+  Plug__Answer **answers;
+};
 #define PLUG__LOCATED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__located__descriptor) \
-    , NULL, PLUG__HOLDING__UNSURE, {0,NULL} }
+    , 0,NULL }
 
 
 /*
@@ -181,6 +213,18 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * Inquire asks an agent that has been silent for its Load.
+ */
+struct  Plug__Inquire
+{
+  ProtobufCMessage base;
+};
+#define PLUG__INQUIRE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&plug__inquire__descriptor) \
+     }
+
+
 typedef enum {
   PLUG__TRACK_NOTICE__BODY__NOT_SET = 0,
   PLUG__TRACK_NOTICE__BODY_OPEN = 1,
@@ -188,7 +232,8 @@
   PLUG__TRACK_NOTICE__BODY_LOCATE = 3,
   PLUG__TRACK_NOTICE__BODY_LOCATED = 4,
   PLUG__TRACK_NOTICE__BODY_LOST = 5,
-  PLUG__TRACK_NOTICE__BODY_LOAD = 6
+  PLUG__TRACK_NOTICE__BODY_LOAD = 6,
+  PLUG__TRACK_NOTICE__BODY_INQUIRE = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PLUG__TRACK_NOTICE__BODY__CASE)
 } Plug__TrackNotice__BodyCase;
 
@@ -203,6 +248,7 @@
     Plug__Located *located;
     Plug__Lost *lost;
     Plug__Load *load;
+    Plug__Inquire *inquire;
   };
 };
 #define PLUG__TRACK_NOTICE__INIT \
@@ -267,6 +313,25 @@
 void   plug__refused__free_unpacked
                      (Plug__Refused *message,
                       ProtobufCAllocator *allocator);
+/* Plug__Question methods */
+void   plug__question__init
+                     (Plug__Question         *message);
+size_t plug__question__get_packed_size
+                     (const Plug__Question   *message);
+size_t plug__question__pack
+                     (const Plug__Question   *message,
+                      uint8_t             *out);
+size_t plug__question__pack_to_buffer
+                     (const Plug__Question   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__Question *
+       plug__question__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__question__free_unpacked
+                     (Plug__Question *message,
+                      ProtobufCAllocator *allocator);
 /* Plug__Locate methods */
 void   plug__locate__init
                      (Plug__Locate         *message);
@@ -286,6 +351,25 @@
 void   plug__locate__free_unpacked
                      (Plug__Locate *message,
                       ProtobufCAllocator *allocator);
+/* Plug__Answer methods */
+void   plug__answer__init
+                     (Plug__Answer         *message);
+size_t plug__answer__get_packed_size
+                     (const Plug__Answer   *message);
+size_t plug__answer__pack
+                     (const Plug__Answer   *message,
+                      uint8_t             *out);
+size_t plug__answer__pack_to_buffer
+                     (const Plug__Answer   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__Answer *
+       plug__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__answer__free_unpacked
+                     (Plug__Answer *message,
+                      ProtobufCAllocator *allocator);
 /* Plug__Located methods */
 void   plug__located__init
                      (Plug__Located         *message);
@@ -343,6 +427,25 @@
 void   plug__load__free_unpacked
                      (Plug__Load *message,
                       ProtobufCAllocator *allocator);
+/* Plug__Inquire methods */
+void   plug__inquire__init
+                     (Plug__Inquire         *message);
+size_t plug__inquire__get_packed_size
+                     (const Plug__Inquire   *message);
+size_t plug__inquire__pack
+                     (const Plug__Inquire   *message,
+                      uint8_t             *out);
+size_t plug__inquire__pack_to_buffer
+                     (const Plug__Inquire   *message,
+                      ProtobufCBuffer     *buffer);
+Plug__Inquire *
+       plug__inquire__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   plug__inquire__free_unpacked
+                     (Plug__Inquire *message,
+                      ProtobufCAllocator *allocator);
 /* Plug__TrackNotice methods */
 void   plug__track_notice__init
                      (Plug__TrackNotice         *message);
@@ -373,9 +476,15 @@
 typedef void (*Plug__Refused_Closure)
                  (const Plug__Refused *message,
                   void *closure_data);
+typedef void (*Plug__Question_Closure)
+                 (const Plug__Question *message,
+                  void *closure_data);
 typedef void (*Plug__Locate_Closure)
                  (const Plug__Locate *message,
                   void *closure_data);
+typedef void (*Plug__Answer_Closure)
+                 (const Plug__Answer *message,
+                  void *closure_data);
 typedef void (*Plug__Located_Closure)
                  (const Plug__Located *message,
                   void *closure_data);
@@ -385,6 +494,9 @@
 typedef void (*Plug__Load_Closure)
                  (const Plug__Load *message,
                   void *closure_data);
+typedef void (*Plug__Inquire_Closure)
+                 (const Plug__Inquire *message,
+                  void *closure_data);
 typedef void (*Plug__TrackNotice_Closure)
                  (const Plug__TrackNotice *message,
                   void *closure_data);
@@ -399,10 +511,13 @@
 extern const ProtobufCMessageDescriptor plug__tuple__descriptor;
 extern const ProtobufCMessageDescriptor plug__open__descriptor;
 extern const ProtobufCMessageDescriptor plug__refused__descriptor;
+extern const ProtobufCMessageDescriptor plug__question__descriptor;
 extern const ProtobufCMessageDescriptor plug__locate__descriptor;
+extern const ProtobufCMessageDescriptor plug__answer__descriptor;
 extern const ProtobufCMessageDescriptor plug__located__descriptor;
 extern const ProtobufCMessageDescriptor plug__lost__descriptor;
 extern const ProtobufCMessageDescriptor plug__load__descriptor;
+extern const ProtobufCMessageDescriptor plug__inquire__descriptor;
 extern const ProtobufCMessageDescriptor plug__track_notice__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -476,6 +476,113 @@
 }
 END_TEST
 
+/* Guards against a client that waits for a machine which is gone for good: the
+ * same day, where lookups went on for 15 s after the list had dropped it. */
+START_TEST(host_that_left_the_list_is_not_waited_for)
+{
+	world_open(&world, 0, 7);
+	unsigned int holder = (unsigned int)world_holder(&world, 7);
+	unsigned int gone = (holder + 1) % 5;
+
+	world_host_crash(&world, holder);
+	world_restart_agent(&world, holder);
+	world_host_return(&world, holder, 200);
+	world.agent_nodes[gone].cut = true;
+	world_restart_entry(&world, 0);
+	world_data(&world, 0, 7);
+	world_run(&world, PLUG_SEC);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	world.listed[gone] = false;
+	world_adopt(&world, 0, true);
+	world_run(&world, 50 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 1);
+}
+END_TEST
+
+/* Guards against a reset by an entry that has just lost its way to the host of
+ * a flow, while that host is dropped from the list: one question may be lost.
+ */
+START_TEST(host_that_left_the_list_may_still_answer)
+{
+	world_open(&world, 0, 7);
+	unsigned int holder = (unsigned int)world_holder(&world, 7);
+
+	world_restart_entry(&world, 0);
+	world.agent_nodes[holder].cut = true;
+	world_data(&world, 0, 7);
+	world_run(&world, 50 * PLUG_MSEC);
+	world.listed[holder] = false;
+	world_adopt(&world, 0, true);
+	world.agent_nodes[holder].cut = false;
+	world_run(&world, 200 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+}
+END_TEST
+
+/* Guards against a probe for each host on the link of the entry: the same day,
+ * where 58 copies of each client's segment were lost on links of 11 Mbit/s. */
+START_TEST(probes_are_relayed)
+{
+	for (uint16_t port = 1; port <= 20; port++)
+		world_open(&world, port % 2, port);
+	for (unsigned int i = 0; i < 5; i++)
+		world_restart_agent(&world, i);
+	world_restart_entry(&world, 0);
+	world.question_bytes = 0;
+	for (uint16_t port = 1; port <= 20; port++)
+		world_data(&world, 0, port);
+	world_run(&world, 200 * PLUG_MSEC);
+	for (uint16_t port = 1; port <= 20; port++) {
+		ck_assert_uint_eq(world.clients[port].answers, 2);
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+	}
+	/* For each flow one probe of 120 bytes, and 5 questions of 27. */
+	ck_assert_uint_le(
+	    world.question_bytes, (size_t)20 * (120 + 5 * 27) + 5 * 20);
+}
+END_TEST
+
+/* Guards against a lookup that waits for an answer to a lost probe: the same
+ * day, where hosts were still starting when they were asked by a segment. */
+START_TEST(lost_probe_is_repeated)
+{
+	unsigned int holder;
+
+	world_open(&world, 0, 7);
+	holder = (unsigned int)world_holder(&world, 7);
+	for (unsigned int i = 0; i < 5; i++)
+		world_restart_agent(&world, i);
+	world_restart_entry(&world, 0);
+	world.hosts[holder].alive = false;
+	world_data(&world, 0, 7);
+	world_run(&world, 100 * PLUG_MSEC);
+	world.hosts[holder].alive = true;
+	world_run(&world, 400 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+	ck_assert_uint_eq(world_strange(&world), 4);
+}
+END_TEST
+
+/* Guards against a datagram for each flow and agent when many flows are looked
+ * for at once: on the same day they filled links of 11 Mbit/s for seconds. */
+START_TEST(questions_share_datagrams)
+{
+	for (uint16_t port = 1; port <= 60; port++)
+		world_open(&world, port % 2, port);
+	world_restart_entry(&world, 0);
+	world.questions = 0;
+	for (uint16_t port = 1; port <= 60; port++)
+		world_data(&world, 0, port);
+	world_run(&world, SHORT);
+	for (uint16_t port = 1; port <= 60; port++)
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+	/* Two for each of the 5 agents, as 60 tuples need about 1500 bytes. */
+	ck_assert_uint_le(world.questions, 10);
+}
+END_TEST
+
 /* Guards against silence towards a client that names no route. */
 START_TEST(flow_without_route_is_reset)
 {
@@ -511,6 +618,24 @@
 }
 END_TEST
 
+/* Guards against an agent that gets no flow for ever because it was away when
+ * the last one was sent to it: lekbai-lb-grown trouble-1, where entries found
+ * no host for 20 s after the return of all machines. */
+START_TEST(silent_agent_is_asked_again)
+{
+	world_only(&world, 0);
+	world.agent_nodes[0].cut = true;
+	world_syn(&world, 0, 2);
+	world_run(&world, 4 * PLUG_SEC);
+	world.agent_nodes[0].cut = false;
+	world_run(&world, PLUG_SEC);
+	world_syn(&world, 0, 3);
+	world_run(&world, 20 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[3].accepts, 1);
+	ck_assert_uint_eq(world.clients[3].resets, 0);
+}
+END_TEST
+
 /* Guards against flows that gather at one host. */
 START_TEST(flows_are_spread)
 {
@@ -561,7 +686,13 @@
 	tcase_add_test(flows, share_without_weight_gets_no_flow);
 	tcase_add_test(flows, split_is_kept_without_overload);
 	tcase_add_test(flows, flow_without_route_is_reset);
+	tcase_add_test(flows, host_that_left_the_list_is_not_waited_for);
+	tcase_add_test(flows, host_that_left_the_list_may_still_answer);
+	tcase_add_test(flows, probes_are_relayed);
+	tcase_add_test(flows, lost_probe_is_repeated);
+	tcase_add_test(flows, questions_share_datagrams);
 	tcase_add_test(flows, silent_agent_is_left_out);
+	tcase_add_test(flows, silent_agent_is_asked_again);
 	tcase_add_test(flows, flows_are_spread);
 	suite_add_tcase(suite, flows);
 	return suite;
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -109,7 +109,7 @@
 			node < world->entry_nodes + WORLD_ENTRIES;
 	uint32_t self =
 	    (is_entry ? ENTRY_ADDRESS : AGENT_ADDRESS) + node->index;
-	uint8_t buf[256];
+	uint8_t buf[WORLD_MESSAGE_SIZE];
 	struct header header = { 0 };
 	size_t len;
 
@@ -141,12 +141,18 @@
 		len = plug__track_notice__get_packed_size(action->notice);
 		ck_assert_uint_le(len, sizeof(buf));
 		(void)plug__track_notice__pack(action->notice, buf);
-		if (passes(world, self, action->node))
-			post(world,
-			    is_entry ? NOTICE_TO_AGENT : NOTICE_TO_ENTRY, self,
-			    action->node -
-				(is_entry ? AGENT_ADDRESS : ENTRY_ADDRESS),
-			    buf, len, WORLD_LINK);
+		if (is_entry) {
+			world->questions++;
+			world->question_bytes += len;
+		}
+		if (!passes(world, self, action->node))
+			return;
+		if (action->node >= AGENT_ADDRESS)
+			post(world, NOTICE_TO_AGENT, self,
+			    action->node - AGENT_ADDRESS, buf, len, WORLD_LINK);
+		else
+			post(world, NOTICE_TO_ENTRY, self,
+			    action->node - ENTRY_ADDRESS, buf, len, WORLD_LINK);
 		return;
 	case PLUG_TRACK_REFRESH:
 		world->refreshes++;
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -4,10 +4,11 @@
 #include "libplantainlug/track/agent.h"
 #include "libplantainlug/track/entry.h"
 
-#define WORLD_ENTRIES  4
-#define WORLD_HOSTS    8
-#define WORLD_FLOWS    512
-#define WORLD_MESSAGES 8192
+#define WORLD_ENTRIES	   4
+#define WORLD_HOSTS	   8
+#define WORLD_FLOWS	   512
+#define WORLD_MESSAGES	   8192
+#define WORLD_MESSAGE_SIZE 1400 /* bytes */
 
 #define WORLD_SERVICE	 77 /* service of the hosts */
 #define WORLD_SECOND	 78 /* service of those that second[] names */
@@ -53,7 +54,7 @@
 	unsigned int from;
 	unsigned int to;
 	size_t len;
-	uint8_t bytes[256];
+	uint8_t bytes[WORLD_MESSAGE_SIZE];
 };
 
 struct world_node {
@@ -75,6 +76,8 @@
 	struct world_host hosts[WORLD_HOSTS];
 	struct world_client clients[WORLD_FLOWS];
 	unsigned int refreshes;
+	unsigned int questions; /* notices of entries to agents */
+	size_t question_bytes;	/* their length */
 	unsigned int count;
 	uint64_t sequence;
 	struct world_message messages[WORLD_MESSAGES];
