Leave hosts out that fail the requests they are given

Ruled out: closing of a flow by its host without an answer as a sign: hosts end flows of unknown routes in this manner. Change: an agent counts requests that its host resets, and those that clients give up after 400 ms; three within about a second and every fifth make the host a failing one for 1 s, a relapse doubles that up to 8 s. Entries choose a failing host when there is no other. They ask for the load of hosts that get no flows, as a lost report would exclude these for ever.

--- a/libplantainlug/explain_tracked.c
+++ b/libplantainlug/explain_tracked.c
@@ -67,6 +67,10 @@
 		    "host_unreachable" },
 		{ "lookup_undecided", "reason", "host_list_out_of_date",
 		    "store_unreachable" },
+		{ "request_failed", "reason", "host_reset_it",
+		    "host_failed_it" },
+		{ "request_failed", "reason", "client_gave_up",
+		    "host_did_not_answer" },
 		{ "answer_slow", "cold", "1", "host_cold" },
 		{ "answer_slow", "cold", "0", "host_overloaded" },
 	};
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -28,6 +28,10 @@
 #define SLOW_ANSWER  (200 * PLUG_MSEC)
 #define SLOW_SPACING (100 * PLUG_MSEC)
 
+/* A client that ends a flow so long after its request has given up on the host;
+ * deadlines are 500 ms and more. */
+#define GIVEN_UP_TIME (400 * PLUG_MSEC)
+
 /* A leaving host closes its port and goes on serving its flows for seconds. One
  * that also answers no segment for this long is dead: a living host answers or
  * returns one within a few milliseconds, and while it works on all requests,
@@ -179,6 +183,38 @@
 	}
 }
 
+/* A request has ended without an answer. */
+static void
+count_failure(struct plug_track_agent *agent, plug_time now,
+    const struct plug_held_flow *flow, const char *reason)
+{
+	agent->counters[PLUG_AGENT_FAILED]++;
+	log_flow(
+	    agent, PLUG_LOG_INFO, "request_failed", &flow->conn.tuple, reason);
+	if (!plug_failures_count(&agent->failures, now, true))
+		return;
+	agent->failing = true;
+	plug_client_log(&agent->driver->client, PLUG_LOG_WARN,
+	    "event=host_failing host=%016llx for_ms=%lld flows=%u running=%u",
+	    (unsigned long long)agent->host,
+	    (long long)(agent->failures.hold / PLUG_MSEC), agent->open,
+	    agent->running);
+	report_to_all(agent);
+}
+
+/* Entries hear of it when a failing host may be tried again. */
+static void
+check_failing(struct plug_track_agent *agent, plug_time now)
+{
+	if (!agent->failing || plug_failures_failing(&agent->failures, now))
+		return;
+	agent->failing = false;
+	plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
+	    "event=host_tried_again host=%016llx",
+	    (unsigned long long)agent->host);
+	report_to_all(agent);
+}
+
 static void
 send_refused(struct plug_track_agent *agent, uint32_t entry, uint64_t host,
     const struct plug_segment *segment, Plug__RefusalReason reason)
@@ -459,6 +495,10 @@
 client_sent(struct plug_track_agent *agent, plug_time now,
     struct plug_held_flow *flow, const struct plug_segment *segment)
 {
+	if ((segment->flags & (PLUG_SEGMENT_FIN | PLUG_SEGMENT_RST)) != 0 &&
+	    flow->working && !flow->client_fin && !flow->host_fin &&
+	    now - flow->asked >= GIVEN_UP_TIME)
+		count_failure(agent, now, flow, "client_gave_up");
 	count_flow(agent, flow, -1);
 	if ((segment->flags & PLUG_SEGMENT_FIN) != 0)
 		flow->client_fin = true;
@@ -589,7 +629,12 @@
 	if (segment->len > 0 && flow->working) {
 		flow->working = false;
 		count_answer(agent, now, flow);
+		(void)plug_failures_count(&agent->failures, now, false);
 	}
+	/* A host resets a flow that it has closed before, too. */
+	if ((segment->flags & PLUG_SEGMENT_RST) != 0 && flow->working &&
+	    !flow->host_fin)
+		count_failure(agent, now, flow, "host_reset_it");
 	if ((segment->flags & PLUG_SEGMENT_FIN) != 0) {
 		flow->host_fin = true;
 		flow->working = false;
@@ -875,6 +920,7 @@
 	load.accepting = !agent->draining &&
 			 agent->state != PLUG_HOST_REFUSING &&
 			 agent->state != PLUG_HOST_DOWN;
+	load.failing = agent->failing;
 	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOAD;
 	notice.load = &load;
 	plug_track_notify(agent->driver, entry, &notice);
@@ -922,6 +968,7 @@
 	plug_time next;
 
 	check_host(agent, now);
+	check_failing(agent, now);
 	expire_pending(agent, now);
 	refuse_waiters(agent, now);
 	admit_waiters(agent, now);
@@ -954,6 +1001,7 @@
 		[PLUG_AGENT_REFUSED] = "refused",
 		[PLUG_AGENT_BOUNCED] = "bounced",
 		[PLUG_AGENT_RESETS] = "resets",
+		[PLUG_AGENT_FAILED] = "failed",
 		[PLUG_AGENT_PROBES] = "probes",
 	};
 
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -3,6 +3,7 @@
 
 #include "action.h"
 #include "conntable.h"
+#include "failures.h"
 #include "gate.h"
 
 #define PLUG_ANSWER_FIRST   PLUG_MSEC /* upper limit of the first bucket */
@@ -73,6 +74,7 @@
 	PLUG_AGENT_REFUSED,   /* new flows returned to their entry */
 	PLUG_AGENT_BOUNCED,   /* segments that the host has returned */
 	PLUG_AGENT_RESETS,    /* flows that have ended with their host */
+	PLUG_AGENT_FAILED,    /* requests that the host did not answer */
 	PLUG_AGENT_PROBES,    /* segments by which the host was asked */
 	PLUG_AGENT_COUNTERS,
 };
@@ -95,6 +97,8 @@
  * @slow_logged: time of the last log line about a slow answer
  * @answers: requests by the time of their answer: below PLUG_ANSWER_FIRST,
  * below twice that, and so on; the last bucket has the rest
+ * @failures: requests that the host has failed lately
+ * @failing: whether that was too many when it was last looked at
  * @gate: admission of new flows
  * @reported: entries that get reports
  * @next_sweep: time when old flows are looked for again
@@ -115,6 +119,8 @@
 	uint32_t opening;
 	plug_time slow_logged;
 	uint64_t answers[PLUG_ANSWER_BUCKETS];
+	struct plug_failures failures;
+	bool failing;
 	struct plug_gate gate;
 	struct plug_reported reported[PLUG_REPORTED_MAX];
 	plug_time next_sweep;
--- a/libplantainlug/track/balance.c
+++ b/libplantainlug/track/balance.c
@@ -114,11 +114,28 @@
 	target->running = load->running;
 	target->waiting = load->waiting;
 	target->accepting = load->accepting;
+	target->failing = load->failing;
 	target->reported = now;
 	target->sent = 0;
 	target->asked = 0;
 }
 
+/**
+ * plug_target_unsettled() - whether an agent is to be asked for its load
+ * @target: target
+ * @now: time
+ *
+ * A host that gets no new flows may have changed since its last report, and
+ * that may have been followed by one that was lost.
+ */
+bool
+plug_target_unsettled(const struct plug_target *target, plug_time now)
+{
+	return plug_target_silent(target, now) ||
+	       ((!target->accepting || target->failing) &&
+		   now - target->reported > REPORT_STALE);
+}
+
 /**
  * plug_target_silent() - whether an agent doesn't answer
  * @target: target
@@ -177,34 +194,23 @@
 	       now >= target->avoid_until && !plug_target_silent(target, now);
 }
 
-/**
- * plug_balance_choose() - choose the host of a new flow
- * @balance: balance
- * @now: time
- * @service: hash of the service's name
- * @domain: hash of the own domain's name; its hosts are preferred, since what
- *   crosses domains is slower and costs money
- * @excluded: hosts to leave out
- *
- * Return: the host, or NULL when none can take a flow now.
- */
-const struct plug_fleet_host *
-plug_balance_choose(const struct plug_balance *balance, plug_time now,
-    uint64_t service, uint32_t domain, const struct plug_excluded *excluded)
+static const struct plug_fleet_host *
+choose_among(const struct plug_balance *balance, plug_time now,
+    uint64_t service, uint32_t domain, const struct plug_excluded *excluded,
+    bool failing)
 {
 	const struct plug_fleet *fleet = balance->fleet;
 	const struct plug_fleet_host *best[2] = { NULL, NULL };
 	double score_of[2] = { 0, 0 };
 	double work[2] = { 0, 0 };
 
-	if (fleet == NULL)
-		return NULL;
 	for (unsigned int i = 0; i < fleet->host_count; i++) {
 		const struct plug_fleet_host *host = &fleet->hosts[i];
 		unsigned int remote = host->domain != domain;
 		double value;
 
-		if (!may_take(balance, i, now, service, excluded))
+		if (balance->targets[i].failing != failing ||
+		    !may_take(balance, i, now, service, excluded))
 			continue;
 		value = score(host, &balance->targets[i], now);
 		if (best[remote] != NULL && value >= score_of[remote])
@@ -220,6 +226,32 @@
 	return best[0];
 }
 
+/**
+ * plug_balance_choose() - choose the host of a new flow
+ * @balance: balance
+ * @now: time
+ * @service: hash of the service's name
+ * @domain: hash of the own domain's name; its hosts are preferred, since what
+ *   crosses domains is slower and costs money
+ * @excluded: hosts to leave out
+ *
+ * Return: the host, a failing one only when there is no other, or NULL when
+ * none can take a flow now.
+ */
+const struct plug_fleet_host *
+plug_balance_choose(const struct plug_balance *balance, plug_time now,
+    uint64_t service, uint32_t domain, const struct plug_excluded *excluded)
+{
+	const struct plug_fleet_host *host = NULL;
+
+	if (balance->fleet == NULL)
+		return NULL;
+	host = choose_among(balance, now, service, domain, excluded, false);
+	if (host != NULL)
+		return host;
+	return choose_among(balance, now, service, domain, excluded, true);
+}
+
 /**
  * plug_balance_sent() - count a flow that was sent to a host
  * @balance: balance
--- a/libplantainlug/track/balance.h
+++ b/libplantainlug/track/balance.h
@@ -12,6 +12,7 @@
  * @running: requests at work
  * @waiting: opening flows that wait at its agent
  * @accepting: it takes new flows
+ * @failing: it has failed many requests, and is chosen when there is no other
  * @reported: time of the report; 0 before the first one
  * @sent: flows sent to it since the report
  * @asked: time of the first flow sent since the report; 0 without one
@@ -22,6 +23,7 @@
 	uint32_t running;
 	uint32_t waiting;
 	bool accepting;
+	bool failing;
 	plug_time reported;
 	uint32_t sent;
 	plug_time asked;
@@ -56,6 +58,7 @@
 void plug_balance_report(
     struct plug_balance *balance, plug_time now, const Plug__Load *load);
 bool plug_target_silent(const struct plug_target *target, plug_time now);
+bool plug_target_unsettled(const struct plug_target *target, plug_time now);
 const struct plug_fleet_host *
 plug_balance_choose(const struct plug_balance *balance, plug_time now,
     uint64_t service, uint32_t domain, const struct plug_excluded *excluded);
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -651,8 +651,8 @@
 	step_lookups(entry, now);
 }
 
-/* An agent that has not answered gets no new flow, and so has no reason to
- * report: it is asked. */
+/* An agent whose host gets no new flow has no reason to report that this may
+ * change: it is asked. */
 static void
 inquire(struct plug_track_entry *entry, plug_time now)
 {
@@ -663,7 +663,7 @@
 	notice.body_case = PLUG__TRACK_NOTICE__BODY_INQUIRE;
 	notice.inquire = &question;
 	for (unsigned int i = 0; fleet != NULL && i < fleet->host_count; i++) {
-		if (plug_target_silent(&entry->balance.targets[i], now))
+		if (plug_target_unsettled(&entry->balance.targets[i], now))
 			plug_track_notify(
 			    entry->driver, fleet->hosts[i].address, &notice);
 	}
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -1027,7 +1027,7 @@
   (ProtobufCMessageInit) plug__lost__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor plug__load__field_descriptors[6] =
 {
   {
     "host",
@@ -1089,9 +1089,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failing",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Load, failing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__load__field_indices_by_name[] = {
   4,   /* field[4] = accepting */
+  5,   /* field[5] = failing */
   1,   /* field[1] = flows */
   0,   /* field[0] = host */
   2,   /* field[2] = running */
@@ -1100,7 +1113,7 @@
 static const ProtobufCIntRange plug__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor plug__load__descriptor =
 {
@@ -1110,7 +1123,7 @@
   "Plug__Load",
   "plug",
   sizeof(Plug__Load),
-  5,
+  6,
   plug__load__field_descriptors,
   plug__load__field_indices_by_name,
   1,  plug__load__number_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -197,7 +197,8 @@
 
 
 /*
- * Load tells what a host bears, and whether it takes new flows.
+ * Load tells what a host bears, and whether it takes new flows. A failing host
+ * should get them only when there is no other one.
  */
 struct  Plug__Load
 {
@@ -207,10 +208,11 @@
   uint32_t running;
   uint32_t waiting;
   protobuf_c_boolean accepting;
+  protobuf_c_boolean failing;
 };
 #define PLUG__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -636,6 +636,48 @@
 }
 END_TEST
 
+static unsigned int
+open_and_fail(uint16_t first, uint16_t count)
+{
+	unsigned int failed = 0;
+
+	for (uint16_t port = first; port < first + count; port++) {
+		world_syn(&world, port % 2, port);
+		world_run(&world, 5 * PLUG_MSEC);
+		world_data(&world, port % 2, port);
+		world_run(&world, 30 * PLUG_MSEC);
+		failed += world.clients[port].failures;
+	}
+	return failed;
+}
+
+/* Guards against a host that resets its flows, has the fewest of them
+ * therefore, and so gets all new ones: lekbai-lb-grown trouble-1, 1284 failed
+ * requests in 6 s at 5 hosts that went down and up. */
+START_TEST(failing_host_gets_few_flows)
+{
+	world.hosts[0].fails = true;
+	ck_assert_uint_le(open_and_fail(1, 100), 6);
+	world.hosts[0].fails = false;
+	world_run(&world, 8 * PLUG_SEC);
+	world.hosts[0].syns = 0;
+	ck_assert_uint_eq(open_and_fail(101, 60), 0);
+	ck_assert_uint_ge(world.hosts[0].syns, 10);
+}
+END_TEST
+
+/* Guards against refusals when the only host of a service fails some of its
+ * requests. */
+START_TEST(only_host_is_used_while_it_fails)
+{
+	world_only(&world, 0);
+	world.hosts[0].fails = true;
+	ck_assert_uint_eq(open_and_fail(1, 20), 20);
+	for (uint16_t port = 1; port <= 20; port++)
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+}
+END_TEST
+
 /* Guards against flows that gather at one host. */
 START_TEST(flows_are_spread)
 {
@@ -693,6 +735,8 @@
 	tcase_add_test(flows, questions_share_datagrams);
 	tcase_add_test(flows, silent_agent_is_left_out);
 	tcase_add_test(flows, silent_agent_is_asked_again);
+	tcase_add_test(flows, failing_host_gets_few_flows);
+	tcase_add_test(flows, only_host_is_used_while_it_fails);
 	tcase_add_test(flows, flows_are_spread);
 	suite_add_tcase(suite, flows);
 	return suite;
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -398,6 +398,12 @@
 	}
 	if (header->len == 0)
 		return;
+	if (h->fails) {
+		h->holds[port] = false;
+		h->answers[port] = false;
+		host_sends(world, host, port, PLUG_SEGMENT_RST, 1, 0);
+		return;
+	}
 	if (header->seq == h->seqs[port]) {
 		host_sends(world, host, port, PLUG_SEGMENT_ACK, 1, 0);
 		return;
@@ -421,7 +427,9 @@
 			client->reset_at = world->now;
 		return;
 	}
-	if ((header->flags & PLUG_SEGMENT_SYN) != 0) {
+	if ((header->flags & PLUG_SEGMENT_RST) != 0) {
+		client->failures++;
+	} else if ((header->flags & PLUG_SEGMENT_SYN) != 0) {
 		if (client->accepts++ == 0)
 			client->host_seq = header->seq;
 	} else if (header->len > 0) {
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -25,6 +25,7 @@
 	bool alive;	/* answers and returns segments */
 	bool listening; /* its port takes connections */
 	bool takes_syn;
+	bool fails;	/* resets a flow instead of an answer */
 	plug_time work; /* of a request */
 	unsigned int slots;
 	unsigned int busy;
@@ -40,8 +41,9 @@
 
 struct world_client {
 	unsigned int resets;
-	unsigned int accepts; /* SYN+ACKs */
-	unsigned int answers; /* segments with data */
+	unsigned int failures; /* resets by a host */
+	unsigned int accepts;  /* SYN+ACKs */
+	unsigned int answers;  /* segments with data */
 	plug_time reset_at;
 	uint32_t host_seq; /* of the first SYN+ACK */
 	uint32_t seq;	   /* of the last request */
