--- a/cli/commands.h
+++ b/cli/commands.h
@@ -16,6 +16,10 @@
 int plug_cli_standin_caller(int argc, char **argv);
 int plug_cli_explain(int argc, char **argv);
 
+enum plug_code plug_cli_check_role(
+    enum plug_role named, enum plug_role role, struct plug_status *status);
+int plug_cli_result(
+    const char *path, enum plug_code code, const struct plug_status *status);
 int plug_cli_run(int argc, char **argv, enum plug_role role,
     enum plug_code (*run)(
 	const struct plug_settings *settings, struct plug_status *status));
--- a/cli/run.c
+++ b/cli/run.c
@@ -9,6 +9,43 @@
 
 #define SETTINGS_SIZE_MAX ((size_t)1024 * 1024) /* bytes of a settings file */
 
+/**
+ * plug_cli_check_role() - compare the settings with the subcommand
+ * @named: role in the settings
+ * @role: role of the subcommand
+ * @status: receives the reason of a failure
+ *
+ * Return: PLUG_OK or PLUG_E_RANGE.
+ */
+enum plug_code
+plug_cli_check_role(
+    enum plug_role named, enum plug_role role, struct plug_status *status)
+{
+	if (named == role)
+		return PLUG_OK;
+	return plug_status_set(status, PLUG_E_RANGE,
+	    "the settings name another role than the subcommand");
+}
+
+/**
+ * plug_cli_result() - print why a role has ended, if it failed
+ * @path: settings file
+ * @code: result of the role
+ * @status: reason, when @code is a failure
+ *
+ * Return: exit code.
+ */
+int
+plug_cli_result(
+    const char *path, enum plug_code code, const struct plug_status *status)
+{
+	if (code == PLUG_OK)
+		return PLUG_EXIT_OK;
+	(void)fprintf(stderr, "plantainlug: %s: error %d (%s): %s\n", path,
+	    code, plug_code_name(code), status->message);
+	return PLUG_EXIT_FAILURE;
+}
+
 static enum plug_code
 read_settings(const char *path, enum plug_role role,
     struct plug_settings *settings, struct plug_status *status)
@@ -22,9 +59,8 @@
 		code = plug_settings_parse(
 		    (struct plug_str){ text, len }, settings, status);
 	free(text);
-	if (code == PLUG_OK && settings->role != role)
-		code = plug_status_set(status, PLUG_E_RANGE,
-		    "the settings name another role than the subcommand");
+	if (code == PLUG_OK)
+		code = plug_cli_check_role(settings->role, role, status);
 	return code;
 }
 
@@ -48,11 +84,7 @@
 			code = run(&settings, &status);
 		apr_terminate();
 	}
-	if (code == PLUG_OK)
-		return PLUG_EXIT_OK;
-	(void)fprintf(stderr, "plantainlug: %s: error %d (%s): %s\n", path,
-	    code, plug_code_name(code), status.message);
-	return PLUG_EXIT_FAILURE;
+	return plug_cli_result(path, code, &status);
 }
 
 /**
--- a/cli/track.c
+++ b/cli/track.c
@@ -24,9 +24,8 @@
 		code = plug_track_settings_parse(
 		    (struct plug_str){ text, len }, settings, status);
 	free(text);
-	if (code == PLUG_OK && settings->role != role)
-		code = plug_status_set(status, PLUG_E_RANGE,
-		    "the settings name another role than the subcommand");
+	if (code == PLUG_OK)
+		code = plug_cli_check_role(settings->role, role, status);
 	return code;
 }
 
@@ -44,11 +43,7 @@
 		code = plug_trackd_run(
 		    path, &settings, &plug_platform_adapter, &status);
 	}
-	if (code == PLUG_OK)
-		return PLUG_EXIT_OK;
-	(void)fprintf(stderr, "plantainlug: %s: error %d (%s): %s\n", path,
-	    code, plug_code_name(code), status.message);
-	return PLUG_EXIT_FAILURE;
+	return plug_cli_result(path, code, &status);
 }
 
 static int
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -19,6 +19,21 @@
 	world_init(&world, 2, 5);
 }
 
+static void
+restart_agents(void)
+{
+	for (unsigned int i = 0; i < world.host_count; i++)
+		world_restart_agent(&world, i);
+}
+
+/* Opens flow 7 through entry 0. Return: the host that has it. */
+static unsigned int
+open_flow(void)
+{
+	world_open(&world, 0, 7);
+	return (unsigned int)world_holder(&world, 7);
+}
+
 /* Guards against a flow that is lost, or sent to other hosts, when its packets
  * come through an entry that has not opened it. */
 START_TEST(another_entry_finds_the_host)
@@ -52,10 +67,8 @@
  * still has. */
 START_TEST(restarted_agent_keeps_the_flow)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
 	world_restart_agent(&world, holder);
 	world_data(&world, 0, 7);
 	world_run(&world, SHORT);
@@ -70,8 +83,7 @@
 {
 	for (uint16_t port = 1; port <= 20; port++)
 		world_open(&world, port % 2, port);
-	for (unsigned int i = 0; i < 5; i++)
-		world_restart_agent(&world, i);
+	restart_agents();
 	for (unsigned int i = 0; i < 2; i++)
 		world_restart_entry(&world, i);
 	for (uint16_t port = 1; port <= 20; port++)
@@ -88,12 +100,9 @@
  * that has it is out of reach: that counts as a broken flow. */
 START_TEST(few_probes_while_the_host_is_unreachable)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
-	for (unsigned int i = 0; i < 5; i++)
-		world_restart_agent(&world, i);
+	restart_agents();
 	world.agent_nodes[holder].cut = true;
 	world_restart_entry(&world, 0);
 	world_data(&world, 0, 7);
@@ -114,12 +123,9 @@
  * again, 4.6 s apart, with --vary --seed 48813868705 of mwangaza-lb. */
 START_TEST(few_probes_over_retransmissions)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
-	for (unsigned int i = 0; i < 5; i++)
-		world_restart_agent(&world, i);
+	restart_agents();
 	world.agent_nodes[holder].cut = true;
 	for (unsigned int i = 0; i < 16; i++) {
 		world_data(&world, 1, 7);
@@ -134,12 +140,9 @@
  * agents-and-entries --vary --seed 407547055003 of lekbai-lb. */
 START_TEST(few_probes_by_a_closing_client)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
-	for (unsigned int i = 0; i < 5; i++)
-		world_restart_agent(&world, i);
+	restart_agents();
 	world.agent_nodes[holder].cut = true;
 	for (unsigned int i = 0; i < 16; i++) {
 		world_fin(&world, 1, 7);
@@ -223,10 +226,8 @@
 /* Guards against the reset of a flow whose host's agent doesn't answer. */
 START_TEST(no_reset_while_an_agent_is_silent)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
 	world.agent_nodes[holder].cut = true;
 	world_data(&world, 1, 7);
 	world_run(&world, 100 * PLUG_MSEC);
@@ -262,10 +263,8 @@
  * FLOW on mwangaza-lb, trouble-1 --seed 723571206431. */
 START_TEST(leaving_host_keeps_its_flows)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
 	world.hosts[holder].listening = false;
 	world_probe(&world, holder);
 	for (unsigned int i = 2; i < 20; i++) {
@@ -286,10 +285,8 @@
  * a restart under the same id only the flow's segment tells. */
 START_TEST(returned_segment_ends_the_flow)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
 	world.hosts[holder].holds[7] = false;
 	world.hosts[holder].answers[7] = false;
 	world_data(&world, 0, 7);
@@ -480,8 +477,7 @@
  * same day, where lookups went on for 15 s after the list had dropped it. */
 START_TEST(host_that_left_the_list_is_not_waited_for)
 {
-	world_open(&world, 0, 7);
-	unsigned int holder = (unsigned int)world_holder(&world, 7);
+	unsigned int holder = open_flow();
 	unsigned int gone = (holder + 1) % 5;
 
 	world_host_crash(&world, holder);
@@ -504,8 +500,7 @@
  */
 START_TEST(host_that_left_the_list_may_still_answer)
 {
-	world_open(&world, 0, 7);
-	unsigned int holder = (unsigned int)world_holder(&world, 7);
+	unsigned int holder = open_flow();
 
 	world_restart_entry(&world, 0);
 	world.agent_nodes[holder].cut = true;
@@ -526,8 +521,7 @@
 {
 	for (uint16_t port = 1; port <= 20; port++)
 		world_open(&world, port % 2, port);
-	for (unsigned int i = 0; i < 5; i++)
-		world_restart_agent(&world, i);
+	restart_agents();
 	world_restart_entry(&world, 0);
 	world.question_bytes = 0;
 	for (uint16_t port = 1; port <= 20; port++)
@@ -547,12 +541,9 @@
  * day, where hosts were still starting when they were asked by a segment. */
 START_TEST(lost_probe_is_repeated)
 {
-	unsigned int holder;
+	unsigned int holder = open_flow();
 
-	world_open(&world, 0, 7);
-	holder = (unsigned int)world_holder(&world, 7);
-	for (unsigned int i = 0; i < 5; i++)
-		world_restart_agent(&world, i);
+	restart_agents();
 	world_restart_entry(&world, 0);
 	world.hosts[holder].alive = false;
 	world_data(&world, 0, 7);
