Serve short requests first when hosts are full

Change: an agent learns how long requests of each route take, from those that did not wait. Routes with half the average or less go first in their priority and are admitted up to four requests for each slot. A full queue makes room.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -423,9 +423,10 @@
 static void
 admit_waiters(struct plug_track_agent *agent, plug_time now)
 {
-	while (agent->gate.first != NULL && agent->state == PLUG_HOST_UP &&
-	       plug_gate_admit(
-		   &agent->gate, now, agent->running + agent->opening)) {
+	while (
+	    agent->gate.first != NULL && agent->state == PLUG_HOST_UP &&
+	    plug_gate_admit(&agent->gate, now, agent->running + agent->opening,
+		agent->gate.first->is_short)) {
 		struct plug_gate_waiter *waiter =
 		    plug_gate_take(&agent->gate, now);
 		struct plug_segment segment = waiting_segment(waiter);
@@ -505,8 +506,10 @@
 	if ((segment->flags & PLUG_SEGMENT_ACK) != 0)
 		flow->ack = segment->ack;
 	if (segment->len > 0 && !flow->client_fin) {
-		if (!flow->working)
+		if (!flow->working) {
 			flow->asked = now;
+			flow->waited = agent->running >= agent->gate.slots;
+		}
 		flow->working = true;
 		flow->pending = false;
 	}
@@ -589,6 +592,12 @@
 		    &original);
 }
 
+static struct plug_endpoint
+route_of(const struct plug_tuple *tuple)
+{
+	return (struct plug_endpoint){ tuple->service, tuple->service_port };
+}
+
 static void
 count_answer(struct plug_track_agent *agent, plug_time now,
     const struct plug_held_flow *flow)
@@ -601,6 +610,9 @@
 							       << bucket)
 		bucket++;
 	agent->answers[bucket]++;
+	if (!flow->waited)
+		plug_worktimes_add(
+		    &agent->times, route_of(&flow->conn.tuple), time);
 	if (time < SLOW_ANSWER || now - agent->slow_logged < SLOW_SPACING)
 		return;
 	agent->slow_logged = now;
@@ -681,7 +693,7 @@
 
 static bool
 wait_at_gate(struct plug_track_agent *agent, plug_time now, uint32_t from,
-    const Plug__Open *open, const struct plug_segment *segment)
+    const Plug__Open *open, const struct plug_segment *segment, bool is_short)
 {
 	struct plug_gate_waiter waiter = {
 		.tuple = segment->tuple,
@@ -689,14 +701,25 @@
 		.host = open->host,
 		.patience = now + open->wait_ms * PLUG_MSEC / WAIT_PATIENCE,
 		.deadline = now + open->wait_ms * PLUG_MSEC,
-		.priority = open->priority,
+		.rank = plug_gate_rank(open->priority, is_short),
+		.is_short = is_short,
 		.len = segment->bytes.len,
 	};
+	struct plug_gate_waiter *displaced;
 
 	if (segment->bytes.len > sizeof(waiter.bytes))
 		return false;
 	memcpy(waiter.bytes, segment->bytes.data, segment->bytes.len);
-	return plug_gate_wait(&agent->gate, &waiter);
+	if (!plug_gate_wait(&agent->gate, now, &waiter, &displaced))
+		return false;
+	if (displaced != NULL) {
+		struct plug_segment last = waiting_segment(displaced);
+
+		send_refused(agent, displaced->entry, displaced->host, &last,
+		    PLUG__REFUSAL_REASON__BUSY);
+		free(displaced);
+	}
+	return true;
 }
 
 static void
@@ -707,6 +730,7 @@
 	struct plug_held_flow *flow;
 	struct plug_segment segment;
 	Plug__RefusalReason reason;
+	bool is_short;
 
 	if (!plug_track_decode(agent->driver, &open->segment, &segment) ||
 	    !plug_segment_opens(&segment)) {
@@ -731,14 +755,19 @@
 	plug_gate_configure(&agent->gate, now, open->slots,
 	    open->cold_milli_per_s / 1000.0,
 	    open->cold_ms > 0 ? now + open->cold_ms * PLUG_MSEC : 0);
-	if (agent->state == PLUG_HOST_UP && agent->gate.first == NULL &&
+	is_short =
+	    plug_worktimes_short(&agent->times, route_of(&segment.tuple));
+	if (agent->state == PLUG_HOST_UP &&
+	    (agent->gate.first == NULL ||
+		agent->gate.first->rank >
+		    plug_gate_rank(open->priority, is_short)) &&
 	    plug_gate_admit(
-		&agent->gate, now, agent->running + agent->opening)) {
+		&agent->gate, now, agent->running + agent->opening, is_short)) {
 		open_flow(agent, now, from, &segment);
 		return;
 	}
 	agent->counters[PLUG_AGENT_QUEUED]++;
-	if (!wait_at_gate(agent, now, from, open, &segment))
+	if (!wait_at_gate(agent, now, from, open, &segment, is_short))
 		send_refused(agent, from, open->host, &segment,
 		    PLUG__REFUSAL_REASON__BUSY);
 }
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -5,6 +5,7 @@
 #include "conntable.h"
 #include "failures.h"
 #include "gate.h"
+#include "worktimes.h"
 
 #define PLUG_ANSWER_FIRST   PLUG_MSEC /* upper limit of the first bucket */
 #define PLUG_ANSWER_BUCKETS 14	      /* the last one begins at 4 s */
@@ -32,6 +33,7 @@
  * @pending: its first request hasn't come yet, and is expected
  * @working: a request is at work
  * @asked: time when it came
+ * @waited: all slots of the host were taken then
  * @client_fin: the client has closed its side
  * @host_fin: the host has closed its side
  * @host_seq: sequence number of the host's SYN+ACK
@@ -45,6 +47,7 @@
 	bool pending;
 	bool working;
 	plug_time asked;
+	bool waited;
 	bool client_fin;
 	bool host_fin;
 	uint32_t host_seq;
@@ -99,6 +102,7 @@
  * below twice that, and so on; the last bucket has the rest
  * @failures: requests that the host has failed lately
  * @failing: whether that was too many when it was last looked at
+ * @times: how long it works on requests
  * @gate: admission of new flows
  * @reported: entries that get reports
  * @next_sweep: time when old flows are looked for again
@@ -121,6 +125,7 @@
 	uint64_t answers[PLUG_ANSWER_BUCKETS];
 	struct plug_failures failures;
 	bool failing;
+	struct plug_worktimes times;
 	struct plug_gate gate;
 	struct plug_reported reported[PLUG_REPORTED_MAX];
 	plug_time next_sweep;
--- a/libplantainlug/track/gate.c
+++ b/libplantainlug/track/gate.c
@@ -12,6 +12,11 @@
  */
 #define WORK_PER_SLOT 2
 
+/* A host that is full with requests of flows which it has had for long would
+ * never admit a new one. Short requests delay it little, so they may use up its
+ * own queue, which holds four for each slot. */
+#define WORK_PER_SLOT_SHORT 4
+
 /* Segments that may wait: what the host can begin within the longest wait. */
 #define WAITERS_PER_SLOT 16
 #define WAITERS_MIN	 16
@@ -94,11 +99,15 @@
  * @gate: gate; the flow is counted when it may
  * @now: time
  * @work: requests at the host and flows that are being opened there
+ * @is_short: requests of the flow take little of the host
  */
 bool
-plug_gate_admit(struct plug_gate *gate, plug_time now, uint32_t work)
+plug_gate_admit(
+    struct plug_gate *gate, plug_time now, uint32_t work, bool is_short)
 {
-	if (work >= gate->slots * WORK_PER_SLOT)
+	uint32_t limit = is_short ? WORK_PER_SLOT_SHORT : WORK_PER_SLOT;
+
+	if (work >= gate->slots * limit)
 		return false;
 	if (gate->cold_per_s <= 0 || now >= gate->cold_until)
 		return true;
@@ -109,30 +118,73 @@
 	return true;
 }
 
+/**
+ * plug_gate_rank() - order of waiters
+ * @priority: of the route, 0 is highest
+ * @is_short: its requests take little of the host
+ */
+uint64_t
+plug_gate_rank(uint32_t priority, bool is_short)
+{
+	return (uint64_t)priority * 2 + (is_short ? 0 : 1);
+}
+
+/* The oldest of those that go last, if it should make room: it ranks behind the
+ * new one, or has waited so long that its answer would be late anyway.
+ * Return: the link to it, or NULL. */
+static struct plug_gate_waiter **
+find_displaced(struct plug_gate *gate, plug_time now, uint64_t rank)
+{
+	struct plug_gate_waiter **oldest = &gate->first, **link;
+
+	if (gate->first == NULL)
+		return NULL;
+	for (link = &gate->first; *link != NULL; link = &(*link)->next) {
+		if ((*link)->rank != (*oldest)->rank)
+			oldest = link;
+	}
+	if ((*oldest)->rank > rank ||
+	    ((*oldest)->rank == rank && now >= (*oldest)->patience))
+		return oldest;
+	return NULL;
+}
+
 /**
  * plug_gate_wait() - let an opening segment wait
  * @gate: gate
+ * @now: time
  * @waiter: segment; copied. A copy of one that waits already is dropped
+ * @displaced: receives a segment that had to make room, for free(3), or NULL
  *
  * Return: false when too many wait.
  */
 bool
-plug_gate_wait(struct plug_gate *gate, const struct plug_gate_waiter *waiter)
+plug_gate_wait(struct plug_gate *gate, plug_time now,
+    const struct plug_gate_waiter *waiter, struct plug_gate_waiter **displaced)
 {
 	struct plug_gate_waiter **link = &gate->first;
 	struct plug_gate_waiter *copy;
 
+	*displaced = NULL;
 	for (copy = gate->first; copy != NULL; copy = copy->next) {
 		if (plug_tuple_equal(&copy->tuple, &waiter->tuple))
 			return true;
 	}
-	if (gate->waiting >= gate->slots * WAITERS_PER_SLOT + WAITERS_MIN)
-		return false;
 	copy = malloc(sizeof(*copy));
 	if (copy == NULL)
 		return false;
+	if (gate->waiting >= gate->slots * WAITERS_PER_SLOT + WAITERS_MIN) {
+		struct plug_gate_waiter **room =
+		    find_displaced(gate, now, waiter->rank);
+
+		if (room == NULL) {
+			free(copy);
+			return false;
+		}
+		*displaced = unlink_waiter(gate, room);
+	}
 	*copy = *waiter;
-	while (*link != NULL && (*link)->priority <= copy->priority)
+	while (*link != NULL && (*link)->rank <= copy->rank)
 		link = &(*link)->next;
 	copy->next = *link;
 	*link = copy;
@@ -145,9 +197,9 @@
  * @gate: gate
  * @now: time
  *
- * The most urgent ones come first. Among them it is the oldest one, until that
- * has waited for too long: then there is more to do than can be done in time,
- * and the newest one has a client that is certain to wait for it still.
+ * The lowest rank comes first. Among its waiters it is the oldest one, until
+ * that has waited for too long: then there is more to do than can be done in
+ * time, and the newest one has a client that is certain to wait for it still.
  *
  * Return: segment for free(3), or NULL.
  */
@@ -158,8 +210,8 @@
 
 	if (gate->first == NULL || now < gate->first->patience)
 		return unlink_waiter(gate, link);
-	while ((*link)->next != NULL &&
-	       (*link)->next->priority == gate->first->priority)
+	while (
+	    (*link)->next != NULL && (*link)->next->rank == gate->first->rank)
 		link = &(*link)->next;
 	return unlink_waiter(gate, link);
 }
--- a/libplantainlug/track/gate.h
+++ b/libplantainlug/track/gate.h
@@ -11,7 +11,8 @@
  * @host: hash of the instance id of the host that it is meant for
  * @patience: its answer is in time if it is admitted before this time
  * @deadline: it is of no use to its client after this time
- * @priority: 0 is admitted first
+ * @rank: waiters of a lower one go first: by priority, then short requests
+ * @is_short: its requests take little of the host
  * @len: length of @bytes
  * @bytes: segment
  */
@@ -22,7 +23,8 @@
 	uint64_t host;
 	plug_time patience;
 	plug_time deadline;
-	uint32_t priority;
+	uint64_t rank;
+	bool is_short;
 	size_t len;
 	uint8_t bytes[PLUG_SEGMENT_MAX];
 };
@@ -51,9 +53,11 @@
 void plug_gate_finish(struct plug_gate *gate);
 void plug_gate_configure(struct plug_gate *gate, plug_time now, uint32_t slots,
     double cold_per_s, plug_time cold_until);
-bool plug_gate_admit(struct plug_gate *gate, plug_time now, uint32_t work);
-bool
-plug_gate_wait(struct plug_gate *gate, const struct plug_gate_waiter *waiter);
+bool plug_gate_admit(
+    struct plug_gate *gate, plug_time now, uint32_t work, bool is_short);
+uint64_t plug_gate_rank(uint32_t priority, bool is_short);
+bool plug_gate_wait(struct plug_gate *gate, plug_time now,
+    const struct plug_gate_waiter *waiter, struct plug_gate_waiter **displaced);
 struct plug_gate_waiter *plug_gate_take(struct plug_gate *gate, plug_time now);
 struct plug_gate_waiter *plug_gate_take_if(struct plug_gate *gate,
     bool (*matches)(void *data, const struct plug_gate_waiter *waiter),
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdlib.h>
 
 #include "suites.h"
 #include "trackworld.h"
@@ -574,6 +575,117 @@
 }
 END_TEST
 
+static struct plug_gate_waiter
+waiter_of(uint16_t port, uint32_t priority, bool is_short)
+{
+	return (struct plug_gate_waiter){
+		.tuple = { .client = 1, .client_port = port },
+		.rank = plug_gate_rank(priority, is_short),
+		.patience = 100 * PLUG_MSEC,
+		.deadline = 200 * PLUG_MSEC,
+	};
+}
+
+/* Return: port of the flow that made room, 0 for none, -1 if it can't wait. */
+static int
+gate_wait(struct plug_gate *gate, plug_time now, uint16_t port,
+    uint32_t priority, bool is_short)
+{
+	struct plug_gate_waiter waiter = waiter_of(port, priority, is_short);
+	struct plug_gate_waiter *displaced;
+	int result = 0;
+
+	if (!plug_gate_wait(gate, now, &waiter, &displaced))
+		return -1;
+	if (displaced != NULL)
+		result = displaced->tuple.client_port;
+	free(displaced);
+	return result;
+}
+
+static uint16_t
+gate_take(struct plug_gate *gate, plug_time now)
+{
+	struct plug_gate_waiter *waiter = plug_gate_take(gate, now);
+	uint16_t port = waiter == NULL ? 0 : waiter->tuple.client_port;
+
+	free(waiter);
+	return port;
+}
+
+/* Guards against urgent or short requests behind long ones that are no more
+ * urgent: hunt-76e7-123 of mwangaza-lb, where sheets of 5 ms waited behind
+ * requests of 40 ms and 26% of them failed. */
+START_TEST(gate_serves_by_rank)
+{
+	struct plug_gate gate;
+
+	plug_gate_init(&gate, 0);
+	ck_assert_int_eq(gate_wait(&gate, 0, 1, 2, false), 0);
+	ck_assert_int_eq(gate_wait(&gate, 0, 2, 2, true), 0);
+	ck_assert_int_eq(gate_wait(&gate, 0, 3, 1, false), 0);
+	ck_assert_uint_eq(gate_take(&gate, 10), 3);
+	ck_assert_uint_eq(gate_take(&gate, 10), 2);
+	ck_assert_uint_eq(gate_take(&gate, 10), 1);
+	plug_gate_finish(&gate);
+}
+END_TEST
+
+/* Guards against fresh or urgent flows that are refused because the queue is
+ * full of older or less urgent ones. */
+START_TEST(full_gate_makes_room)
+{
+	struct plug_gate gate;
+	uint16_t port = 1;
+
+	plug_gate_init(&gate, 0);
+	while (gate_wait(&gate, 0, port, 2, false) == 0)
+		port++;
+	ck_assert_int_eq(gate_wait(&gate, 0, 500, 2, false), -1);
+	ck_assert_int_eq(gate_wait(&gate, 0, 501, 2, true), 1);
+	ck_assert_int_eq(gate_wait(&gate, 0, 502, 1, false), 2);
+	ck_assert_int_eq(gate_wait(&gate, 150 * PLUG_MSEC, 503, 2, false), 3);
+	ck_assert_int_eq(gate_wait(&gate, 150 * PLUG_MSEC, 504, 3, false), -1);
+	plug_gate_finish(&gate);
+}
+END_TEST
+
+/* Guards against short requests that are never admitted because flows which the
+ * host has had for long keep it full: the same day. */
+START_TEST(gate_admits_short_requests_to_a_full_host)
+{
+	struct plug_gate gate;
+
+	plug_gate_init(&gate, 0);
+	plug_gate_configure(&gate, 0, 7, 0, 0);
+	ck_assert(plug_gate_admit(&gate, 0, 13, false));
+	ck_assert(!plug_gate_admit(&gate, 0, 14, false));
+	ck_assert(plug_gate_admit(&gate, 0, 27, true));
+	ck_assert(!plug_gate_admit(&gate, 0, 28, true));
+	plug_gate_finish(&gate);
+}
+END_TEST
+
+/* Guards against a guess from a few requests, and against a route that is taken
+ * for short because the host has nothing longer. */
+START_TEST(short_routes_are_learned)
+{
+	const struct plug_endpoint sheet = { 1, 80 }, feed = { 1, 81 };
+	struct plug_worktimes times = { 0 };
+
+	plug_worktimes_add(&times, sheet, 5 * PLUG_MSEC);
+	plug_worktimes_add(&times, feed, 40 * PLUG_MSEC);
+	ck_assert(!plug_worktimes_short(&times, sheet));
+	for (unsigned int i = 0; i < 40; i++) {
+		plug_worktimes_add(&times, feed, 40 * PLUG_MSEC);
+		if (i % 8 == 0)
+			plug_worktimes_add(&times, sheet, 5 * PLUG_MSEC);
+	}
+	ck_assert(plug_worktimes_short(&times, sheet));
+	ck_assert(!plug_worktimes_short(&times, feed));
+}
+END_TEST
+
 /* Guards against silence towards a client that names no route. */
 START_TEST(flow_without_route_is_reset)
 {
@@ -716,6 +828,10 @@
 	tcase_add_test(flows, reused_address_gets_no_flow);
 	tcase_add_test(flows, cold_host_gets_its_share);
 	tcase_add_test(flows, herd_waits_at_the_gate);
+	tcase_add_test(flows, gate_serves_by_rank);
+	tcase_add_test(flows, full_gate_makes_room);
+	tcase_add_test(flows, gate_admits_short_requests_to_a_full_host);
+	tcase_add_test(flows, short_routes_are_learned);
 	tcase_add_test(flows, share_without_weight_gets_no_flow);
 	tcase_add_test(flows, split_is_kept_without_overload);
 	tcase_add_test(flows, flow_without_route_is_reset);
