Take a domain back whose return the store's history has lost

Cause: found by reading the change. A reader that is told that the history was dropped reads the operators' part anew, but such a read only added domains that are out of service. One that was taken back meanwhile stayed out at that entry until its next start.

The stand-in store answers 410 for revisions it has forgotten.

--- a/net/storereader.c
+++ b/net/storereader.c
@@ -67,9 +67,10 @@
  * @operators: reads of the operators' part
  * @hosts: reads of the host list
  * @config: newest configuration; NULL before the first one
- * @fresh: configuration of the pages that are being read; NULL without one
  * @out_count: length of @out
  * @out: hashes of the domains that are out of service
+ * @found_count: length of @found
+ * @found: those that the pages which are being read have shown
  * @list_count: length of @list
  * @list_capacity: room in @list
  * @list: hosts of the pages that are being read
@@ -90,9 +91,10 @@
 	struct part operators;
 	struct part hosts;
 	struct plug_config *config;
-	struct plug_config *fresh;
 	unsigned int out_count;
 	uint32_t out[PLUG_DOMAINS_OUT_MAX];
+	unsigned int found_count;
+	uint32_t found[PLUG_DOMAINS_OUT_MAX];
 	unsigned int list_count;
 	unsigned int list_capacity;
 	struct plug_fleet_host *list;
@@ -174,7 +176,6 @@
 	plug_fetch_slot_destroy(reader->operators.slot);
 	plug_fetch_slot_destroy(reader->hosts.slot);
 	plug_config_release(reader->config);
-	plug_config_release(reader->fresh);
 	free(reader->list);
 	free(reader->known);
 	free(reader);
@@ -299,6 +300,29 @@
 	    "event=domain_%s domain=#%08x", out ? "out" : "back", domain);
 }
 
+static bool
+contains(const uint32_t *domains, unsigned int count, uint32_t domain)
+{
+	for (unsigned int i = 0; i < count; i++) {
+		if (domains[i] == domain)
+			return true;
+	}
+	return false;
+}
+
+/* What was taken back while the history was dropped is missed by the changes:
+ * a complete read doesn't show it. */
+static void
+take_back_missing(struct plug_storereader *reader)
+{
+	for (unsigned int i = reader->out_count; i-- > 0;) {
+		uint32_t domain = reader->out[i];
+
+		if (!contains(reader->found, reader->found_count, domain))
+			set_out(reader, domain, false);
+	}
+}
+
 static void
 on_operators_item(void *data, struct plug_store_item *item)
 {
@@ -314,6 +338,9 @@
 			adopt_config(reader, item->config);
 		return;
 	case PLUG_STORE_DOMAIN_OUT:
+		if (!item->removed &&
+		    reader->found_count < PLUG_DOMAINS_OUT_MAX)
+			reader->found[reader->found_count++] = item->domain;
 		set_out(reader, item->domain, !item->removed);
 		return;
 	case PLUG_STORE_HOST:
@@ -408,10 +435,14 @@
 		part->query.what = PLUG_STORE_OPERATORS;
 		return;
 	}
+	if (part->query.after_key[0] == '\0')
+		reader->found_count = 0;
 	if (!read_page(part, now, answer, on_operators_item, &page))
 		return;
 	if (page.more)
 		return;
+	if (!changes)
+		take_back_missing(reader);
 	if (reader->handlers.fleet == NULL) {
 		part->due = now + (reader->config == NULL ? FIRST_PERIOD
 							  : AGENT_PERIOD);
--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -76,20 +76,25 @@
 class Store(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     items = {}
+    revision = 9
+    oldest = 0  # first revision whose changes are still known
 
     def do_GET(self):
         prefix = self.path.split("prefix=")[1].split("&")[0]
+        status = 200
         if self.path.startswith("/kv-watch"):
             time.sleep(0.2)
-            body = {"events": [], "store-revision": 9}
+            body = {"events": [], "store-revision": self.revision}
+            if int(self.path.split("after=")[1].split("&")[0]) < self.oldest:
+                status = 410
         else:
             body = {"items": [{"key": key, "rev": 3, "value":
                 base64.b64encode(json.dumps(value).encode()).decode()}
                 for key, value in self.items.items()
                 if key.startswith(prefix)], "has-more": False,
-                "store-revision": 9}
+                "store-revision": self.revision}
         text = json.dumps(body).encode()
-        self.send_response(200)
+        self.send_response(status)
         self.send_header("Content-Length", str(len(text)))
         self.end_headers()
         try:
@@ -261,10 +266,19 @@
             "event=store_item_unreadable key=servers/foreign"))
         entry.kill()
         entry.wait()
+        Store.items["op/evacuate/away"] = {}
         entry = deployment.start("entry")
         wait_for("ready_again",
             lambda: deployment.get(ENTRY, "/ready")[0] == 200)
         wait_for("found_by_new_entry", deployment.request)
+        # Guards against a domain that stays out of service because the store
+        # has dropped the history in which it was taken back.
+        wait_for("domain_out", lambda: deployment.log_has("entry",
+            "event=domain_out"))
+        del Store.items["op/evacuate/away"]
+        Store.revision = Store.oldest = 10
+        wait_for("domain_back", lambda: deployment.log_has("entry",
+            "event=domain_back"))
         agent.kill()
         agent.wait()
         agent = deployment.start("agent")
