Keep one copy of what the tracking mode repeats

A waiter's rank already says whether its requests are short, so the gate takes the rank alone, computed once for each new flow; the agent's sum of work has one name; routes are compared by plug_endpoint_equal(); both kinds of settings check the keys of agents by one function and the limit of the tracking settings stands in one place; a lookup counts its answers once instead of twice in each step after it has widened.

--- a/cli/track.c
+++ b/cli/track.c
@@ -9,8 +9,6 @@
 #include "net/trackd.h"
 #include "platform/platform.h"
 
-#define SETTINGS_SIZE_MAX ((size_t)64 * 1024) /* bytes of a settings file */
-
 static enum plug_code
 read_settings(const char *path, enum plug_role role,
     struct plug_track_settings *settings, struct plug_status *status)
@@ -19,7 +17,8 @@
 	size_t len = 0;
 	char *text = NULL;
 
-	code = plug_file_read(path, SETTINGS_SIZE_MAX, &text, &len, status);
+	code = plug_file_read(
+	    path, PLUG_TRACK_SETTINGS_SIZE_MAX, &text, &len, status);
 	if (code == PLUG_OK)
 		code = plug_track_settings_parse(
 		    (struct plug_str){ text, len }, settings, status);
--- a/libplantainlug/jsonread.c
+++ b/libplantainlug/jsonread.c
@@ -594,3 +594,32 @@
 	*count = (unsigned int)length;
 	return PLUG_OK;
 }
+
+/**
+ * plug_json_check_agent_keys() - check the keys that only agents have
+ * @json: reader, at the root of a settings file
+ * @keys: keys that an agent must have and an entry must not
+ * @count: length of @keys
+ * @is_agent: the settings are those of an agent
+ *
+ * Return: PLUG_OK, PLUG_E_MISSING_KEY or PLUG_E_UNKNOWN_KEY.
+ */
+enum plug_code
+plug_json_check_agent_keys(struct plug_json *json, const char *const *keys,
+    size_t count, bool is_agent)
+{
+	for (size_t i = 0; i < count; i++) {
+		bool present =
+		    json_object_object_get_ex(json->root, keys[i], NULL);
+
+		if (is_agent && !present)
+			return plug_json_fail(json, PLUG_E_MISSING_KEY,
+			    "missing key \"%s\" of an agent", keys[i]);
+		if (!is_agent && present) {
+			json->path[json->depth++].key = keys[i];
+			return plug_json_fail(json, PLUG_E_UNKNOWN_KEY,
+			    "%s: only an agent has this key", keys[i]);
+		}
+	}
+	return PLUG_OK;
+}
--- a/libplantainlug/jsonread.h
+++ b/libplantainlug/jsonread.h
@@ -79,6 +79,8 @@
     struct plug_json *json, struct json_object *value, void *target);
 enum plug_code plug_json_read_endpoint(
     struct plug_json *json, struct json_object *value, void *target);
+enum plug_code plug_json_check_agent_keys(struct plug_json *json,
+    const char *const *keys, size_t count, bool is_agent);
 bool plug_name_valid(struct plug_str name);
 
 #endif
--- a/libplantainlug/settings.c
+++ b/libplantainlug/settings.c
@@ -56,21 +56,12 @@
 	static const char *const agent_keys[] = { "service", "service_id",
 		"upstream" };
 	bool agent = settings->role == PLUG_ROLE_AGENT;
+	enum plug_code code;
 
-	for (size_t i = 0; i < sizeof(agent_keys) / sizeof(agent_keys[0]);
-	     i++) {
-		bool present =
-		    json_object_object_get_ex(json->root, agent_keys[i], NULL);
-
-		if (agent && !present)
-			return plug_json_fail(json, PLUG_E_MISSING_KEY,
-			    "missing key \"%s\" of an agent", agent_keys[i]);
-		if (!agent && present) {
-			json->path[json->depth++].key = agent_keys[i];
-			return plug_json_fail(json, PLUG_E_UNKNOWN_KEY,
-			    "%s: only an agent has this key", agent_keys[i]);
-		}
-	}
+	code = plug_json_check_agent_keys(json, agent_keys,
+	    sizeof(agent_keys) / sizeof(agent_keys[0]), agent);
+	if (code != PLUG_OK)
+		return code;
 	if (agent && json_object_object_get_ex(json->root, "threads", NULL)) {
 		json->path[json->depth++].key = "threads";
 		return plug_json_fail(json, PLUG_E_UNKNOWN_KEY,
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -420,13 +420,19 @@
 	}
 }
 
+/* Requests at the host, and those that its new flows will bring. */
+static uint32_t
+work_of(const struct plug_track_agent *agent)
+{
+	return agent->running + agent->opening;
+}
+
 static void
 admit_waiters(struct plug_track_agent *agent, plug_time now)
 {
-	while (
-	    agent->gate.first != NULL && agent->state == PLUG_HOST_UP &&
-	    plug_gate_admit(&agent->gate, now, agent->running + agent->opening,
-		agent->gate.first->is_short)) {
+	while (agent->gate.first != NULL && agent->state == PLUG_HOST_UP &&
+	       plug_gate_admit(&agent->gate, now, work_of(agent),
+		   agent->gate.first->rank)) {
 		struct plug_gate_waiter *waiter =
 		    plug_gate_take(&agent->gate, now);
 		struct plug_segment segment = waiting_segment(waiter);
@@ -695,7 +701,7 @@
 
 static bool
 wait_at_gate(struct plug_track_agent *agent, plug_time now, uint32_t from,
-    const Plug__Open *open, const struct plug_segment *segment, bool is_short)
+    const Plug__Open *open, const struct plug_segment *segment, uint64_t rank)
 {
 	struct plug_gate_waiter waiter = {
 		.tuple = segment->tuple,
@@ -703,8 +709,7 @@
 		.host = open->host,
 		.patience = now + open->wait_ms * PLUG_MSEC / WAIT_PATIENCE,
 		.deadline = now + open->wait_ms * PLUG_MSEC,
-		.rank = plug_gate_rank(open->priority, is_short),
-		.is_short = is_short,
+		.rank = rank,
 		.len = segment->bytes.len,
 	};
 	struct plug_gate_waiter *displaced;
@@ -732,7 +737,7 @@
 	struct plug_held_flow *flow;
 	struct plug_segment segment;
 	Plug__RefusalReason reason;
-	bool is_short;
+	uint64_t rank;
 
 	if (!plug_track_decode(agent->driver, &open->segment, &segment) ||
 	    !plug_segment_opens(&segment)) {
@@ -757,19 +762,16 @@
 	plug_gate_configure(&agent->gate, now, open->slots,
 	    open->cold_milli_per_s / 1000.0,
 	    open->cold_ms > 0 ? now + open->cold_ms * PLUG_MSEC : 0);
-	is_short =
-	    plug_worktimes_short(&agent->times, route_of(&segment.tuple));
+	rank = plug_gate_rank(open->priority,
+	    plug_worktimes_short(&agent->times, route_of(&segment.tuple)));
 	if (agent->state == PLUG_HOST_UP &&
-	    (agent->gate.first == NULL ||
-		agent->gate.first->rank >
-		    plug_gate_rank(open->priority, is_short)) &&
-	    plug_gate_admit(
-		&agent->gate, now, agent->running + agent->opening, is_short)) {
+	    (agent->gate.first == NULL || agent->gate.first->rank > rank) &&
+	    plug_gate_admit(&agent->gate, now, work_of(agent), rank)) {
 		open_flow(agent, now, from, &segment);
 		return;
 	}
 	agent->counters[PLUG_AGENT_QUEUED]++;
-	if (!wait_at_gate(agent, now, from, open, &segment, is_short))
+	if (!wait_at_gate(agent, now, from, open, &segment, rank))
 		send_refused(agent, from, open->host, &segment,
 		    PLUG__REFUSAL_REASON__BUSY);
 }
@@ -946,7 +948,7 @@
 
 	load.host = agent->host;
 	load.flows = agent->open;
-	load.running = agent->running + agent->opening;
+	load.running = work_of(agent);
 	load.waiting = agent->gate.waiting;
 	load.accepting = !agent->draining &&
 			 agent->state != PLUG_HOST_REFUSING &&
--- a/libplantainlug/track/gate.c
+++ b/libplantainlug/track/gate.c
@@ -94,18 +94,36 @@
 		gate->tokens = COLD_BURST;
 }
 
+/**
+ * plug_gate_rank() - order of waiters
+ * @priority: of the route, 0 is highest
+ * @is_short: its requests take little of the host
+ */
+uint64_t
+plug_gate_rank(uint32_t priority, bool is_short)
+{
+	return (uint64_t)priority * 2 + (is_short ? 0 : 1);
+}
+
+static bool
+is_short_rank(uint64_t rank)
+{
+	return rank % 2 == 0;
+}
+
 /**
  * plug_gate_admit() - whether a new flow may go to the host now
  * @gate: gate; the flow is counted when it may
  * @now: time
  * @work: requests at the host and flows that are being opened there
- * @is_short: requests of the flow take little of the host
+ * @rank: of the flow
  */
 bool
 plug_gate_admit(
-    struct plug_gate *gate, plug_time now, uint32_t work, bool is_short)
+    struct plug_gate *gate, plug_time now, uint32_t work, uint64_t rank)
 {
-	uint32_t limit = is_short ? WORK_PER_SLOT_SHORT : WORK_PER_SLOT;
+	uint32_t limit =
+	    is_short_rank(rank) ? WORK_PER_SLOT_SHORT : WORK_PER_SLOT;
 
 	if (work >= gate->slots * limit)
 		return false;
@@ -118,17 +136,6 @@
 	return true;
 }
 
-/**
- * plug_gate_rank() - order of waiters
- * @priority: of the route, 0 is highest
- * @is_short: its requests take little of the host
- */
-uint64_t
-plug_gate_rank(uint32_t priority, bool is_short)
-{
-	return (uint64_t)priority * 2 + (is_short ? 0 : 1);
-}
-
 /* The oldest of those that go last, if it should make room: it ranks behind the
  * new one, or has waited so long that its answer would be late anyway.
  * Return: the link to it, or NULL. */
--- a/libplantainlug/track/gate.h
+++ b/libplantainlug/track/gate.h
@@ -11,8 +11,7 @@
  * @host: hash of the instance id of the host that it is meant for
  * @patience: its answer is in time if it is admitted before this time
  * @deadline: it is of no use to its client after this time
- * @rank: waiters of a lower one go first: by priority, then short requests
- * @is_short: its requests take little of the host
+ * @rank: from plug_gate_rank(); waiters of a lower one go first
  * @len: length of @bytes
  * @bytes: segment
  */
@@ -24,7 +23,6 @@
 	plug_time patience;
 	plug_time deadline;
 	uint64_t rank;
-	bool is_short;
 	size_t len;
 	uint8_t bytes[PLUG_SEGMENT_MAX];
 };
@@ -54,7 +52,7 @@
 void plug_gate_configure(struct plug_gate *gate, plug_time now, uint32_t slots,
     double cold_per_s, plug_time cold_until);
 bool plug_gate_admit(
-    struct plug_gate *gate, plug_time now, uint32_t work, bool is_short);
+    struct plug_gate *gate, plug_time now, uint32_t work, uint64_t rank);
 uint64_t plug_gate_rank(uint32_t priority, bool is_short);
 bool plug_gate_wait(struct plug_gate *gate, plug_time now,
     const struct plug_gate_waiter *waiter, struct plug_gate_waiter **displaced);
--- a/libplantainlug/track/lookup.c
+++ b/libplantainlug/track/lookup.c
@@ -450,9 +450,8 @@
 	lookup->next_step = now + STEP_INTERVAL;
 	if (lookup->stale)
 		merge_list(lookup, fleet, domain);
-	tally = count_answers(lookup);
-	if (!lookup->wide &&
-	    (tally.silent == 0 || now - lookup->started >= WIDEN_TIME)) {
+	if (!lookup->wide && (now - lookup->started >= WIDEN_TIME ||
+				 count_answers(lookup).silent == 0)) {
 		lookup->wide = true;
 		merge_list(lookup, fleet, domain);
 	}
--- a/libplantainlug/track/settings.c
+++ b/libplantainlug/track/settings.c
@@ -8,29 +8,6 @@
 	.name = (key), .kind = (type), \
 	.offset = offsetof(struct plug_track_settings, member)
 
-/* Keys that an agent must have and an entry must not. */
-static enum plug_code
-check_role(struct plug_json *json, const struct plug_track_settings *settings)
-{
-	static const char *const keys[] = { "host", "host_output" };
-	bool agent = settings->role == PLUG_ROLE_AGENT;
-
-	for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
-		bool present =
-		    json_object_object_get_ex(json->root, keys[i], NULL);
-
-		if (agent && !present)
-			return plug_json_fail(json, PLUG_E_MISSING_KEY,
-			    "missing key \"%s\" of an agent", keys[i]);
-		if (!agent && present) {
-			json->path[json->depth++].key = keys[i];
-			return plug_json_fail(json, PLUG_E_UNKNOWN_KEY,
-			    "%s: only an agent has this key", keys[i]);
-		}
-	}
-	return PLUG_OK;
-}
-
 /**
  * plug_track_settings_parse() - validate the settings of a tracking process
  * @text: JSON with comments
@@ -43,6 +20,7 @@
 plug_track_settings_parse(struct plug_str text,
     struct plug_track_settings *settings, struct plug_status *status)
 {
+	static const char *const agent_keys[] = { "host", "host_output" };
 	static const char *const roles[] = { "entry", "agent", NULL };
 	/* In the order of enum plug_log_level. */
 	static const char *const levels[] = { "error", "warn", "info", "debug",
@@ -74,7 +52,9 @@
 	code = plug_json_read_object(&json, json.root, fields,
 	    sizeof(fields) / sizeof(fields[0]), settings);
 	if (code == PLUG_OK)
-		code = check_role(&json, settings);
+		code = plug_json_check_agent_keys(&json, agent_keys,
+		    sizeof(agent_keys) / sizeof(agent_keys[0]),
+		    settings->role == PLUG_ROLE_AGENT);
 	plug_json_close(&json);
 	return code;
 }
--- a/libplantainlug/track/settings.h
+++ b/libplantainlug/track/settings.h
@@ -3,6 +3,8 @@
 
 #include "../settings.h"
 
+#define PLUG_TRACK_SETTINGS_SIZE_MAX ((size_t)64 * 1024) /* bytes of a file */
+
 /**
  * struct plug_track_settings - validated settings of a tracking process
  * @role: entry or agent
--- a/libplantainlug/track/worktimes.c
+++ b/libplantainlug/track/worktimes.c
@@ -22,11 +22,8 @@
 find(const struct plug_worktimes *times, struct plug_endpoint route)
 {
 	for (unsigned int i = 0; i < times->count; i++) {
-		const struct plug_worktime *found = &times->routes[i];
-
-		if (found->route.address == route.address &&
-		    found->route.port == route.port)
-			return (struct plug_worktime *)found;
+		if (plug_endpoint_equal(times->routes[i].route, route))
+			return (struct plug_worktime *)&times->routes[i];
 	}
 	return NULL;
 }
--- a/libplantainlug/track/worktimes.h
+++ b/libplantainlug/track/worktimes.h
@@ -2,7 +2,7 @@
 #define PLUG_TRACK_WORKTIMES_H
 
 #include "../client.h"
-#include "../document.h"
+#include "../packet.h"
 
 #define PLUG_WORKTIMES_MAX 16 /* routes that one host serves */
 
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -14,9 +14,8 @@
 #include "trackd.h"
 #include "tracktraffic.h"
 
-#define FDS_MAX		  64
-#define SETTINGS_SIZE_MAX ((size_t)64 * 1024) /* bytes */
-#define SETTINGS_PERIOD	  (2 * PLUG_SEC)      /* between looks at the file */
+#define FDS_MAX		64
+#define SETTINGS_PERIOD (2 * PLUG_SEC) /* between looks at the file */
 
 /* Routers check readiness twice a second and take a node out after two misses;
  * until then its flows need it. */
@@ -259,7 +258,7 @@
 	trackd->next_look = now + SETTINGS_PERIOD;
 	plug_status_init(&status);
 	code = plug_file_read(
-	    trackd->path, SETTINGS_SIZE_MAX, &text, &len, &status);
+	    trackd->path, PLUG_TRACK_SETTINGS_SIZE_MAX, &text, &len, &status);
 	if (code == PLUG_OK && trackd->text != NULL &&
 	    trackd->text_len == len && memcmp(trackd->text, text, len) == 0) {
 		free(text);
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -681,14 +681,16 @@
  * host has had for long keep it full: the same day. */
 START_TEST(gate_admits_short_requests_to_a_full_host)
 {
+	const uint64_t usual = plug_gate_rank(2, false);
+	const uint64_t quick = plug_gate_rank(2, true);
 	struct plug_gate gate;
 
 	plug_gate_init(&gate, 0);
 	plug_gate_configure(&gate, 0, 7, 0, 0);
-	ck_assert(plug_gate_admit(&gate, 0, 13, false));
-	ck_assert(!plug_gate_admit(&gate, 0, 14, false));
-	ck_assert(plug_gate_admit(&gate, 0, 27, true));
-	ck_assert(!plug_gate_admit(&gate, 0, 28, true));
+	ck_assert(plug_gate_admit(&gate, 0, 13, usual));
+	ck_assert(!plug_gate_admit(&gate, 0, 14, usual));
+	ck_assert(plug_gate_admit(&gate, 0, 27, quick));
+	ck_assert(!plug_gate_admit(&gate, 0, 28, quick));
 	plug_gate_finish(&gate);
 }
 END_TEST
