Admit and place new flows by time, not by counts

Cause: with more work than hosts can do, nearly all answers were late.

Change: an agent measures how long requests and handshakes take. The host gets what its slots can begin to work on and what is answered during a handshake; what can be answered in time goes first, and the newest once answers are not safe; the last one is refused at once when the queue is longer than its clients may wait, which is half of the route's time-out. Copies of a SYN tell their age. Reports say how long a request takes, and refusals carry one: an entry refuses at once what would wait for too long everywhere, offers a flow that had to wait to a second host only when that has room, and leaves its domain when the other one answers sooner by a service time. A copy of a request is not counted as a new one. agent.c is split by subject. mechanism.h has switches for measurements; builds for use have everything.

--- /dev/null
+++ b/libplantainlug/track/admission.c
@@ -0,0 +1,346 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "admission.h"
+#include "mechanism.h"
+
+/*
+ * Which new flow a host gets next, and which one is refused.
+ *
+ * The load that this answers: all clients return at once after an outage, or
+ * hosts are cold, slow or too few, so that for some seconds there is more work
+ * than can be done in time. A host works off its own queue in the order of
+ * arrival; when that takes longer than the clients' objective, every answer is
+ * late. A flow begins with a request, so new flows wait here until the host can
+ * begin to work on it, and what can still be answered in time goes first.
+ */
+
+/* An answer is safe when there is time for the mean and this many deviations
+ * of its work; nine of ten requests then take less. */
+#define SAFE_DEVIATIONS 2.0
+
+/* A cold host may get this many flows at once. With the rate it stays below the
+ * bound for any one second, which allows 1.5 times the rate and 5 more. */
+#define COLD_BURST 4.0
+
+/* Whether a waiter can be answered in time if it goes now. */
+enum chance {
+	CHANCE_SAFE,
+	CHANCE_RISKY, /* it takes less work than most */
+	CHANCE_LATE,
+};
+
+/**
+ * plug_admission_init() - prepare without waiters
+ * @admission: admission to fill
+ * @now: time; a cold host's tokens grow from here, so that a restarted agent
+ *   doesn't repeat the burst of the one before it
+ */
+void
+plug_admission_init(struct plug_admission *admission, plug_time now)
+{
+	*admission = (struct plug_admission){ .slots = 1, .filled = now };
+}
+
+static struct plug_waiter *
+take(struct plug_admission *admission, struct plug_waiter *waiter)
+{
+	struct plug_waiter **link = &admission->first;
+
+	while (*link != waiter)
+		link = &(*link)->next;
+	*link = waiter->next;
+	waiter->next = NULL;
+	admission->waiting--;
+	return waiter;
+}
+
+/**
+ * plug_admission_finish() - free all waiters
+ * @admission: admission
+ */
+void
+plug_admission_finish(struct plug_admission *admission)
+{
+	while (admission->first != NULL)
+		free(take(admission, admission->first));
+}
+
+/**
+ * plug_admission_configure() - adopt what is known of the host
+ * @admission: admission
+ * @now: time
+ * @slots: requests that it runs at a time
+ * @cold_per_s: new flows a second that it bears while cold; 0 for no limit
+ * @cold_until: it is cold until this time; a later time that is known stays
+ */
+void
+plug_admission_configure(struct plug_admission *admission, plug_time now,
+    uint32_t slots, double cold_per_s, plug_time cold_until)
+{
+	admission->slots = slots > 0 ? slots : 1;
+	admission->cold_per_s = cold_per_s;
+	if (cold_until > admission->cold_until) {
+		if (admission->cold_until <= now) {
+			admission->tokens = 0;
+			admission->filled = now;
+		}
+		admission->cold_until = cold_until;
+	}
+}
+
+/**
+ * plug_admission_add() - add a waiter
+ * @admission: admission
+ * @waiter: waiter from malloc(3); taken over
+ */
+void
+plug_admission_add(struct plug_admission *admission, struct plug_waiter *waiter)
+{
+	struct plug_waiter **link = &admission->first;
+
+	while (*link != NULL)
+		link = &(*link)->next;
+	waiter->next = NULL;
+	*link = waiter;
+	admission->waiting++;
+}
+
+/**
+ * plug_admission_find() - the new flow that waits under a name
+ * @admission: admission
+ * @tuple: flow
+ *
+ * Return: waiter, or NULL.
+ */
+struct plug_waiter *
+plug_admission_find(
+    const struct plug_admission *admission, const struct plug_tuple *tuple)
+{
+	struct plug_waiter *waiter = admission->first;
+
+	while (waiter != NULL && !plug_tuple_equal(&waiter->tuple, tuple))
+		waiter = waiter->next;
+	return waiter;
+}
+
+static struct plug_endpoint
+route_of(const struct plug_waiter *waiter)
+{
+	return (struct plug_endpoint){ waiter->tuple.service,
+		waiter->tuple.service_port };
+}
+
+static enum chance
+chance_of(const struct plug_waiter *waiter, plug_time now,
+    const struct plug_host_work *work)
+{
+	const struct plug_estimate *time =
+	    plug_worktimes_work(work->times, route_of(waiter));
+	/* The handshake, and the way of the request and its answer. */
+	double left = (double)(waiter->due - now) - time->mean -
+		      2.0 * (double)work->handshake;
+
+	if (!plug_has(PLUG_MECHANISM_CHANCE))
+		return CHANCE_SAFE;
+	if (left < 0)
+		return CHANCE_LATE;
+	return left < SAFE_DEVIATIONS * time->deviation ? CHANCE_RISKY
+							: CHANCE_SAFE;
+}
+
+/* Lower ones go first: the urgent routes, what can be answered in time, and
+ * what takes little of the host. */
+static uint64_t
+rank_of(const struct plug_waiter *waiter, plug_time now,
+    const struct plug_host_work *work)
+{
+	return (uint64_t)waiter->priority * 8 +
+	       (uint64_t)chance_of(waiter, now, work) * 2 +
+	       (plug_worktimes_short(work->times, route_of(waiter)) ? 0 : 1);
+}
+
+/* Among equals, the oldest one goes first while its answer is safe. After that
+ * there is more to do than can be done in time, and the newest one has the best
+ * chance and a client that is certain to wait for it still. */
+static bool
+goes_before_older(const struct plug_waiter *waiter, plug_time now,
+    const struct plug_host_work *work)
+{
+	return plug_has(PLUG_MECHANISM_NEWEST) &&
+	       chance_of(waiter, now, work) != CHANCE_SAFE;
+}
+
+static double
+answers_in(const struct plug_admission *admission,
+    const struct plug_host_work *work, plug_time time)
+{
+	double mean = work->times->all.mean;
+
+	return mean > 0 ? admission->slots * (double)time / mean : 0;
+}
+
+/* Beside the requests that its slots work on, the host may have those that it
+ * answers while a new flow is being opened, at least one. */
+static bool
+has_room(
+    const struct plug_admission *admission, const struct plug_host_work *work)
+{
+	double ahead = answers_in(admission, work, work->handshake);
+
+	if (!plug_has(PLUG_MECHANISM_LIMIT))
+		return work->running + work->opening < 2 * admission->slots;
+	return work->running + work->opening <
+	       admission->slots + (ahead > 1 ? ahead : 1);
+}
+
+/* How long a request waits in the host's own queue if it goes now. */
+static plug_time
+wait_at_host(
+    const struct plug_admission *admission, const struct plug_host_work *work)
+{
+	double before = (double)work->running + work->opening;
+
+	if (before < admission->slots)
+		return 0;
+	return (plug_time)((before - admission->slots + 1) *
+			   work->times->all.mean / admission->slots);
+}
+
+/* A host that is full with requests of flows which it has had for long would
+ * never get a new one. A short request delays the others little, so it may wait
+ * in the host's own queue if it is answered in time then. */
+static bool
+may_queue(const struct plug_waiter *waiter, plug_time start,
+    const struct plug_host_work *work)
+{
+	return plug_worktimes_short(work->times, route_of(waiter)) &&
+	       chance_of(waiter, start, work) != CHANCE_LATE;
+}
+
+/* Whether a cold host bears another new flow. */
+static bool
+has_token(struct plug_admission *admission, plug_time now)
+{
+	double elapsed = (double)(now - admission->filled) / (double)PLUG_SEC;
+
+	if (admission->cold_per_s <= 0 || now >= admission->cold_until)
+		return true;
+	admission->filled = now;
+	admission->tokens += elapsed * admission->cold_per_s;
+	if (admission->tokens > COLD_BURST)
+		admission->tokens = COLD_BURST;
+	return admission->tokens >= 1;
+}
+
+/**
+ * plug_admission_next() - take what the host gets now
+ * @admission: admission
+ * @now: time
+ * @work: what the host has to do
+ *
+ * Return: waiter for free(3), or NULL when none may go.
+ */
+struct plug_waiter *
+plug_admission_next(struct plug_admission *admission, plug_time now,
+    const struct plug_host_work *work)
+{
+	struct plug_waiter *best = NULL, *waiter;
+	bool room = has_room(admission, work);
+	plug_time start = now + wait_at_host(admission, work);
+	uint64_t best_rank = 0;
+
+	if (admission->first == NULL || !has_token(admission, now))
+		return NULL;
+	for (waiter = admission->first; waiter != NULL; waiter = waiter->next) {
+		uint64_t rank = rank_of(waiter, start, work);
+
+		if (!room && !may_queue(waiter, start, work))
+			continue;
+		if (best == NULL || rank < best_rank ||
+		    (rank == best_rank &&
+			goes_before_older(waiter, start, work))) {
+			best = waiter;
+			best_rank = rank;
+		}
+	}
+	if (best == NULL)
+		return NULL;
+	if (admission->cold_per_s > 0 && now < admission->cold_until)
+		admission->tokens -= 1;
+	return take(admission, best);
+}
+
+/**
+ * plug_admission_wait() - how long something new would wait if all else went
+ *   before it
+ * @admission: admission
+ * @work: what the host has to do
+ *
+ * Return: microseconds; 0 while it is not known how long requests take.
+ */
+plug_time
+plug_admission_wait(
+    const struct plug_admission *admission, const struct plug_host_work *work)
+{
+	struct plug_host_work all = *work;
+
+	all.opening += admission->waiting;
+	return wait_at_host(admission, &all);
+}
+
+/**
+ * plug_admission_overflow() - take a new flow that can't be served any more
+ * @admission: admission
+ * @now: time
+ * @work: what the host has to do
+ *
+ * The queue is too long when the last one of it would have to be refused before
+ * its turn came. Then the one that would be last is refused at once.
+ *
+ * Return: waiter for free(3), or NULL.
+ */
+struct plug_waiter *
+plug_admission_overflow(struct plug_admission *admission, plug_time now,
+    const struct plug_host_work *work)
+{
+	plug_time wait = plug_admission_wait(admission, work);
+	struct plug_waiter *worst = admission->first, *waiter;
+	plug_time longest = 0;
+	uint64_t worst_rank = 0;
+
+	for (waiter = admission->first; waiter != NULL; waiter = waiter->next) {
+		uint64_t rank = rank_of(waiter, now, work);
+
+		if (waiter->until - now > longest)
+			longest = waiter->until - now;
+		if (rank > worst_rank ||
+		    (rank == worst_rank &&
+			!goes_before_older(waiter, now, work))) {
+			worst = waiter;
+			worst_rank = rank;
+		}
+	}
+	if (worst == NULL || !plug_has(PLUG_MECHANISM_OVERFLOW))
+		return NULL;
+	return wait <= longest ? NULL : take(admission, worst);
+}
+
+/**
+ * plug_admission_take_if() - take a waiter that shall not wait any longer
+ * @admission: admission
+ * @matches: tells whether it is one
+ * @data: first argument of @matches
+ *
+ * Return: waiter for free(3), or NULL.
+ */
+struct plug_waiter *
+plug_admission_take_if(struct plug_admission *admission,
+    bool (*matches)(void *data, const struct plug_waiter *waiter), void *data)
+{
+	struct plug_waiter *waiter = admission->first;
+
+	while (waiter != NULL && !matches(data, waiter))
+		waiter = waiter->next;
+	return waiter == NULL ? NULL : take(admission, waiter);
+}
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -1,11 +1,9 @@
 #ifndef PLUG_TRACK_AGENT_H
 #define PLUG_TRACK_AGENT_H
 
-#include "action.h"
+#include "admission.h"
 #include "conntable.h"
 #include "failures.h"
-#include "gate.h"
-#include "worktimes.h"
 
 #define PLUG_ANSWER_FIRST   PLUG_MSEC /* upper limit of the first bucket */
 #define PLUG_ANSWER_BUCKETS 14	      /* the last one begins at 4 s */
@@ -31,9 +29,12 @@
  * @entry: address of the entry that sent its last segment
  * @answered: the host has sent its SYN+ACK
  * @pending: its first request hasn't come yet, and is expected
- * @working: a request is at work
- * @asked: time when it came
+ * @working: a request is at the host
+ * @asked: time when the host got it, or the opening segment of the flow
  * @waited: all slots of the host were taken then
+ * @client_end: sequence number behind the data that the client has sent; valid
+ *   after its first data
+ * @client_sent: the client has sent data
  * @client_fin: the client has closed its side
  * @host_fin: the host has closed its side
  * @host_seq: sequence number of the host's SYN+ACK
@@ -48,6 +49,8 @@
 	bool working;
 	plug_time asked;
 	bool waited;
+	uint32_t client_end;
+	bool client_sent;
 	bool client_fin;
 	bool host_fin;
 	uint32_t host_seq;
@@ -103,7 +106,8 @@
  * @failures: requests that the host has failed lately
  * @failing: whether that was too many when it was last looked at
  * @times: how long it works on requests
- * @gate: admission of new flows
+ * @handshake: from handing a new flow to the host until its first request
+ * @admission: new flows that wait for the host
  * @reported: entries that get reports
  * @next_sweep: time when old flows are looked for again
  * @counters: by enum plug_agent_counter
@@ -126,7 +130,8 @@
 	struct plug_failures failures;
 	bool failing;
 	struct plug_worktimes times;
-	struct plug_gate gate;
+	struct plug_estimate handshake;
+	struct plug_admission admission;
 	struct plug_reported reported[PLUG_REPORTED_MAX];
 	plug_time next_sweep;
 	uint64_t counters[PLUG_AGENT_COUNTERS];
--- /dev/null
+++ b/libplantainlug/track/agent_flows.c
@@ -0,0 +1,191 @@
+#include "agent_internal.h"
+
+/* The client and its host finish a closed flow within a few retransmissions.
+ * Entries keep it for 5 s; the agent a little longer, so that no late segment
+ * is taken for one of an unknown flow. */
+#define CLOSED_TIME (6 * PLUG_SEC)
+
+/* A host returns a segment of an unknown flow at once; what it hasn't returned
+ * by then, it holds or has dropped. */
+#define PROBE_TIME (2 * PLUG_SEC)
+
+#define IDLE_SLACK (10 * PLUG_SEC) /* entries forget first */
+
+static bool
+is_closed(const struct plug_held_flow *flow)
+{
+	return flow->client_fin && flow->host_fin;
+}
+
+/**
+ * plug_held_count() - add or take a flow's part of the agent's sums
+ * @agent: agent
+ * @flow: flow
+ * @sign: 1 or -1
+ *
+ * To be called around each change of the flow's state.
+ */
+void
+plug_held_count(
+    struct plug_track_agent *agent, const struct plug_held_flow *flow, int sign)
+{
+	if (flow->state == PLUG_HELD_PROBED || is_closed(flow))
+		return;
+	agent->open += (uint32_t)sign;
+	if (flow->working)
+		agent->running += (uint32_t)sign;
+	if (flow->pending)
+		agent->opening += (uint32_t)sign;
+}
+
+/**
+ * plug_held_remove() - forget a flow
+ * @agent: agent
+ * @flow: flow; freed
+ */
+void
+plug_held_remove(struct plug_track_agent *agent, struct plug_held_flow *flow)
+{
+	plug_held_count(agent, flow, -1);
+	plug_conntable_remove(&agent->flows, &flow->conn);
+}
+
+/**
+ * plug_held_add() - remember a flow
+ * @agent: agent
+ * @now: time
+ * @tuple: flow that isn't in the table
+ * @state: its state
+ * @entry: address of the entry that sent its segment, or 0
+ *
+ * Return: the flow, or NULL when memory ran out.
+ */
+struct plug_held_flow *
+plug_held_add(struct plug_track_agent *agent, plug_time now,
+    const struct plug_tuple *tuple, enum plug_held_state state, uint32_t entry)
+{
+	struct plug_held_flow *flow;
+
+	if (plug_conntable_full(&agent->flows))
+		plug_held_remove(
+		    agent, (struct plug_held_flow *)agent->flows.oldest);
+	flow = plug_conntable_add(&agent->flows, tuple, now);
+	if (flow == NULL)
+		return NULL;
+	flow->state = state;
+	flow->entry = entry;
+	plug_held_count(agent, flow, 1);
+	return flow;
+}
+
+/**
+ * plug_held_log() - log a decision about a flow
+ * @agent: agent
+ * @level: severity
+ * @event: what has happened
+ * @tuple: flow
+ * @reason: why
+ */
+void
+plug_held_log(const struct plug_track_agent *agent, enum plug_log_level level,
+    const char *event, const struct plug_tuple *tuple, const char *reason)
+{
+	char text[PLUG_TUPLE_TEXT];
+
+	(void)plug_tuple_format(tuple, text, sizeof(text));
+	plug_client_log(&agent->driver->client, level,
+	    "event=%s flow=%s reason=%s host=%016llx flows=%u running=%u "
+	    "opening=%u waiting=%u",
+	    event, text, reason, (unsigned long long)agent->host, agent->open,
+	    agent->running, agent->opening, agent->admission.waiting);
+}
+
+static void
+send_lost(struct plug_track_agent *agent, const struct plug_held_flow *flow)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Lost lost = PLUG__LOST__INIT;
+	Plug__Tuple tuple = PLUG__TUPLE__INIT;
+
+	if (flow->entry == 0)
+		return;
+	plug_tuple_write(&flow->conn.tuple, &tuple);
+	lost.tuple = &tuple;
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOST;
+	notice.lost = &lost;
+	plug_track_notify(agent->driver, flow->entry, &notice);
+}
+
+/**
+ * plug_held_lose() - the host no longer has a flow that it had
+ * @agent: agent
+ * @flow: flow; freed. Its client is told at once
+ * @reason: for the log
+ */
+void
+plug_held_lose(struct plug_track_agent *agent, struct plug_held_flow *flow,
+    const char *reason)
+{
+	switch (flow->state) {
+	case PLUG_HELD_OPEN:
+		if (is_closed(flow))
+			break;
+		agent->counters[PLUG_AGENT_RESETS]++;
+		plug_held_log(agent, PLUG_LOG_INFO, "flow_reset",
+		    &flow->conn.tuple, reason);
+		plug_track_reset(agent->driver, &flow->conn.tuple, flow->ack);
+		send_lost(agent, flow);
+		break;
+	case PLUG_HELD_OPENING:
+		send_lost(agent, flow);
+		break;
+	case PLUG_HELD_PROBED:
+		plug_holding_answer(agent, flow->entry, &flow->conn.tuple,
+		    PLUG__HOLDING__NO, NULL);
+		break;
+	}
+	plug_held_remove(agent, flow);
+}
+
+/**
+ * plug_held_lose_all() - the host no longer has any flow
+ * @agent: agent
+ * @reason: for the log
+ */
+void
+plug_held_lose_all(struct plug_track_agent *agent, const char *reason)
+{
+	while (agent->flows.oldest != NULL)
+		plug_held_lose(agent,
+		    (struct plug_held_flow *)agent->flows.oldest, reason);
+}
+
+static plug_time
+lifetime(
+    const struct plug_track_agent *agent, const struct plug_held_flow *flow)
+{
+	if (flow->state == PLUG_HELD_PROBED)
+		return PROBE_TIME;
+	if (is_closed(flow))
+		return CLOSED_TIME;
+	return agent->idle_timeout + IDLE_SLACK;
+}
+
+/**
+ * plug_held_sweep() - forget flows that are closed or idle for long
+ * @agent: agent
+ * @now: time
+ */
+void
+plug_held_sweep(struct plug_track_agent *agent, plug_time now)
+{
+	struct plug_conn *conn = agent->flows.oldest;
+
+	while (conn != NULL && now - conn->touched > PROBE_TIME) {
+		struct plug_held_flow *flow = (struct plug_held_flow *)conn;
+
+		conn = conn->newer;
+		if (now - flow->conn.touched > lifetime(agent, flow))
+			plug_held_remove(agent, flow);
+	}
+}
--- /dev/null
+++ b/libplantainlug/track/agent_intake.c
@@ -0,0 +1,342 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent_internal.h"
+#include "mechanism.h"
+
+/*
+ * What the host gets, and which new flow is refused. admission.c decides; here
+ * its decisions meet the agent's flows.
+ */
+
+/* A client sends its request as soon as the handshake is over. When none has
+ * come after a time that this rarely takes, the client has given up while its
+ * SYN waited, or another host has the flow; a place that is kept for longer
+ * keeps out those that still wait. */
+#define PENDING_UNKNOWN (200 * PLUG_MSEC) /* until one was measured */
+#define PENDING_MIN	(10 * PLUG_MSEC)
+#define PENDING_MAX	(500 * PLUG_MSEC)
+
+/**
+ * plug_intake_work() - what the host has to do
+ * @agent: agent; the result borrows from it
+ */
+struct plug_host_work
+plug_intake_work(const struct plug_track_agent *agent)
+{
+	return (struct plug_host_work){
+		.running = agent->running,
+		.opening = agent->opening,
+		.times = &agent->times,
+		.handshake = (plug_time)agent->handshake.mean,
+	};
+}
+
+/**
+ * plug_intake_hand_over() - hand a segment to the host
+ * @agent: agent
+ * @now: time
+ * @segment: segment
+ */
+void
+plug_intake_hand_over(struct plug_track_agent *agent, plug_time now,
+    const struct plug_segment *segment)
+{
+	if (agent->unanswered == 0)
+		agent->unanswered = now;
+	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
+}
+
+static struct plug_segment
+waiting_segment(const struct plug_waiter *waiter)
+{
+	return (struct plug_segment){
+		.tuple = waiter->tuple,
+		.bytes = { (const char *)waiter->bytes, waiter->len },
+	};
+}
+
+/**
+ * plug_intake_refused() - return an opening segment that the host hasn't taken
+ * @agent: agent
+ * @entry: address of the machine of the entry that has sent it
+ * @host: hash of the instance id of the host that it was meant for
+ * @segment: segment
+ * @reason: why
+ */
+void
+plug_intake_refused(struct plug_track_agent *agent, uint32_t entry,
+    uint64_t host, const struct plug_segment *segment,
+    Plug__RefusalReason reason)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Refused refused = PLUG__REFUSED__INIT;
+	Plug__Load load;
+
+	plug_report_load(agent, &load);
+	refused.load = &load;
+	refused.host = host;
+	refused.reason = reason;
+	refused.segment = plug_track_bytes(segment->bytes);
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_REFUSED;
+	notice.refused = &refused;
+	agent->counters[PLUG_AGENT_REFUSED]++;
+	plug_held_log(agent, PLUG_LOG_INFO, "open_refused", &segment->tuple,
+	    plug_refusal_name(reason));
+	plug_track_notify(agent->driver, entry, &notice);
+}
+
+static void
+refuse_waiter(struct plug_track_agent *agent, struct plug_waiter *waiter,
+    Plug__RefusalReason reason)
+{
+	const struct plug_segment segment = waiting_segment(waiter);
+
+	plug_intake_refused(
+	    agent, waiter->entry, waiter->host, &segment, reason);
+	free(waiter);
+}
+
+/* Why a new flow for a host can't be admitted now or later; UNSPECIFIED when
+ * it may be. */
+static Plug__RefusalReason
+refusal(const struct plug_track_agent *agent, uint64_t host)
+{
+	switch (agent->state) {
+	case PLUG_HOST_UNKNOWN:
+		break;
+	case PLUG_HOST_REFUSING:
+	case PLUG_HOST_DOWN:
+		return PLUG__REFUSAL_REASON__OTHER_HOST;
+	case PLUG_HOST_UP:
+		if (host != agent->host)
+			return PLUG__REFUSAL_REASON__OTHER_HOST;
+		break;
+	}
+	return agent->draining ? PLUG__REFUSAL_REASON__DRAINING
+			       : PLUG__REFUSAL_REASON__UNSPECIFIED;
+}
+
+struct refusal {
+	const struct plug_track_agent *agent;
+	plug_time now;
+	Plug__RefusalReason reason;
+};
+
+static bool
+is_refused(void *data, const struct plug_waiter *waiter)
+{
+	struct refusal *refused = data;
+
+	refused->reason = refusal(refused->agent, waiter->host);
+	if (refused->reason == PLUG__REFUSAL_REASON__UNSPECIFIED &&
+	    (refused->now >= waiter->until || !plug_has(PLUG_MECHANISM_QUEUE)))
+		refused->reason = PLUG__REFUSAL_REASON__WAITED;
+	return refused->reason != PLUG__REFUSAL_REASON__UNSPECIFIED;
+}
+
+static void
+refuse_waiters(struct plug_track_agent *agent, plug_time now)
+{
+	const struct plug_host_work work = plug_intake_work(agent);
+	struct refusal refused = { .agent = agent, .now = now };
+	struct plug_waiter *waiter;
+
+	while ((waiter = plug_admission_take_if(
+		    &agent->admission, is_refused, &refused)) != NULL)
+		refuse_waiter(agent, waiter, refused.reason);
+	while ((waiter = plug_admission_overflow(
+		    &agent->admission, now, &work)) != NULL)
+		refuse_waiter(agent, waiter, PLUG__REFUSAL_REASON__BUSY);
+}
+
+static void
+admit(struct plug_track_agent *agent, plug_time now,
+    const struct plug_waiter *waiter)
+{
+	const struct plug_segment segment = waiting_segment(waiter);
+	struct plug_held_flow *flow = plug_held_add(
+	    agent, now, &waiter->tuple, PLUG_HELD_OPENING, waiter->entry);
+
+	if (flow == NULL)
+		return;
+	plug_held_count(agent, flow, -1);
+	flow->pending = true;
+	flow->asked = now;
+	plug_held_count(agent, flow, 1);
+	agent->counters[PLUG_AGENT_ADMITTED]++;
+	plug_held_log(
+	    agent, PLUG_LOG_INFO, "open_admitted", &waiter->tuple, "room");
+	plug_intake_hand_over(agent, now, &segment);
+}
+
+static void
+admit_waiters(struct plug_track_agent *agent, plug_time now)
+{
+	while (agent->state == PLUG_HOST_UP) {
+		const struct plug_host_work work = plug_intake_work(agent);
+		struct plug_waiter *waiter =
+		    plug_admission_next(&agent->admission, now, &work);
+
+		if (waiter == NULL)
+			break;
+		admit(agent, now, waiter);
+		free(waiter);
+	}
+}
+
+/**
+ * plug_intake_step() - go on after an answer, some time or news of the host
+ * @agent: agent
+ * @now: time
+ */
+void
+plug_intake_step(struct plug_track_agent *agent, plug_time now)
+{
+	if (agent->admission.first == NULL)
+		return;
+	admit_waiters(agent, now);
+	refuse_waiters(agent, now);
+}
+
+static plug_time
+pending_time(const struct plug_track_agent *agent)
+{
+	plug_time upper = plug_estimate_upper(&agent->handshake);
+
+	if (upper == 0)
+		return PENDING_UNKNOWN;
+	if (upper < PENDING_MIN)
+		return PENDING_MIN;
+	return upper < PENDING_MAX ? upper : PENDING_MAX;
+}
+
+/**
+ * plug_intake_expire() - give up places for requests that don't come
+ * @agent: agent
+ * @now: time
+ */
+void
+plug_intake_expire(struct plug_track_agent *agent, plug_time now)
+{
+	struct plug_conn *conn = agent->flows.newest;
+	uint32_t left = agent->opening;
+
+	for (; conn != NULL && left > 0; conn = conn->older) {
+		struct plug_held_flow *flow = (struct plug_held_flow *)conn;
+
+		if (!flow->pending)
+			continue;
+		left--;
+		if (now - conn->touched < pending_time(agent))
+			continue;
+		plug_held_count(agent, flow, -1);
+		flow->pending = false;
+		plug_held_count(agent, flow, 1);
+	}
+}
+
+/* Return: whether a copy of it waits already. */
+static bool
+waits(struct plug_track_agent *agent, const struct plug_tuple *tuple,
+    uint32_t from)
+{
+	struct plug_waiter *waiter =
+	    plug_admission_find(&agent->admission, tuple);
+
+	if (waiter != NULL)
+		waiter->entry = from;
+	return waiter != NULL;
+}
+
+static void
+admit_or_wait(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Open *open, const struct plug_segment *segment)
+{
+	unsigned int waiting = agent->admission.waiting;
+	struct plug_waiter *waiter = malloc(sizeof(*waiter));
+
+	if (waiter == NULL)
+		return;
+	*waiter = (struct plug_waiter){
+		.tuple = segment->tuple,
+		.entry = from,
+		.host = open->host,
+		.priority = open->priority,
+		.due =
+		    now + ((plug_time)open->aim_ms - open->aged_ms) * PLUG_MSEC,
+		.until = now + open->wait_ms * PLUG_MSEC,
+		.len = segment->bytes.len,
+	};
+	memcpy(waiter->bytes, segment->bytes.data, segment->bytes.len);
+	plug_admission_add(&agent->admission, waiter);
+	plug_intake_step(agent, now);
+	if (agent->admission.waiting > waiting)
+		agent->counters[PLUG_AGENT_QUEUED]++;
+}
+
+/**
+ * plug_intake_open() - an entry has sent a new flow
+ * @agent: agent
+ * @now: time
+ * @from: address of the entry's machine
+ * @open: notice
+ */
+void
+plug_intake_open(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Open *open)
+{
+	struct plug_reported *reported = plug_report_entry(agent, now, from);
+	struct plug_held_flow *flow;
+	struct plug_segment segment;
+	Plug__RefusalReason reason;
+
+	if (!plug_track_decode(agent->driver, &open->segment, &segment) ||
+	    !plug_segment_opens(&segment) ||
+	    segment.bytes.len > PLUG_SEGMENT_MAX) {
+		agent->counters[PLUG_AGENT_BAD]++;
+		return;
+	}
+	reported->active = now;
+	reported->due = true;
+	flow = plug_conntable_find(&agent->flows, &segment.tuple);
+	if (flow != NULL && flow->state != PLUG_HELD_PROBED) {
+		flow->entry = from;
+		plug_intake_hand_over(agent, now, &segment);
+		return;
+	}
+	if (flow != NULL)
+		plug_held_remove(agent, flow);
+	reason = refusal(agent, open->host);
+	if (reason != PLUG__REFUSAL_REASON__UNSPECIFIED) {
+		plug_intake_refused(agent, from, open->host, &segment, reason);
+		return;
+	}
+	plug_admission_configure(&agent->admission, now, open->slots,
+	    open->cold_milli_per_s / 1000.0,
+	    open->cold_ms > 0 ? now + open->cold_ms * PLUG_MSEC : 0);
+	plug_worktimes_describe(&agent->times, plug_tuple_route(&segment.tuple),
+	    open->priority, open->aim_ms * PLUG_MSEC);
+	if (!waits(agent, &segment.tuple, from))
+		admit_or_wait(agent, now, from, open, &segment);
+}
+
+/**
+ * plug_intake_request() - a client has sent the first segment of a request
+ * @agent: agent
+ * @now: time
+ * @flow: its flow
+ */
+void
+plug_intake_request(
+    struct plug_track_agent *agent, plug_time now, struct plug_held_flow *flow)
+{
+	if (flow->pending)
+		plug_estimate_add(&agent->handshake, now - flow->asked);
+	plug_held_count(agent, flow, -1);
+	flow->pending = false;
+	flow->waited = agent->running >= agent->admission.slots;
+	flow->working = true;
+	flow->asked = now;
+	plug_held_count(agent, flow, 1);
+}
--- /dev/null
+++ b/libplantainlug/track/agent_lookup.c
@@ -0,0 +1,199 @@
+#include "agent_internal.h"
+
+/* Answers of one datagram: 24 bytes each, so that it fits a packet of 1500
+ * bytes with its headers. */
+#define ANSWERS_PER_NOTICE 40
+
+#define IDLE_SLACK (10 * PLUG_SEC) /* entries forget first */
+
+/* Two hosts may have answered the same SYN. The client acknowledges the
+ * sequence number of one of them; data makes no more difference than this. */
+#define HANDSHAKE_WINDOW 76800U
+
+/* Whether a flow that isn't in the table can't be at the host. */
+static bool
+is_sure(const struct plug_track_agent *agent, plug_time now)
+{
+	return agent->state == PLUG_HOST_DOWN || agent->whole ||
+	       now - agent->since > agent->idle_timeout + IDLE_SLACK;
+}
+
+static void
+send_located(struct plug_track_agent *agent, uint32_t entry,
+    Plug__Answer **answers, size_t count)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Located located = PLUG__LOCATED__INIT;
+
+	if (count == 0)
+		return;
+	located.n_answers = count;
+	located.answers = answers;
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOCATED;
+	notice.located = &located;
+	plug_track_notify(agent->driver, entry, &notice);
+}
+
+/**
+ * plug_holding_answer() - tell an entry whether the host holds a flow
+ * @agent: agent
+ * @entry: address of its machine
+ * @tuple: flow
+ * @holding: answer
+ * @segment: segment of the flow that the host has returned, or NULL
+ */
+void
+plug_holding_answer(struct plug_track_agent *agent, uint32_t entry,
+    const struct plug_tuple *tuple, Plug__Holding holding,
+    const struct plug_segment *segment)
+{
+	Plug__Answer answer = PLUG__ANSWER__INIT, *list = &answer;
+	Plug__Tuple wire = PLUG__TUPLE__INIT;
+
+	plug_tuple_write(tuple, &wire);
+	answer.tuple = &wire;
+	answer.holding = holding;
+	if (segment != NULL)
+		answer.segment = plug_track_bytes(segment->bytes);
+	send_located(agent, entry, &list, 1);
+}
+
+static void
+probe(struct plug_track_agent *agent, plug_time now, uint32_t entry,
+    const struct plug_segment *segment)
+{
+	struct plug_held_flow *flow =
+	    plug_held_add(agent, now, &segment->tuple, PLUG_HELD_PROBED, entry);
+
+	if (flow == NULL)
+		return;
+	flow->ack = segment->ack;
+	agent->counters[PLUG_AGENT_PROBES]++;
+	plug_intake_hand_over(agent, now, segment);
+}
+
+/**
+ * plug_holding_forwarded() - a segment of an unknown flow has come
+ * @agent: agent
+ * @now: time
+ * @from: address of the entry's machine
+ * @segment: segment
+ */
+void
+plug_holding_forwarded(struct plug_track_agent *agent, plug_time now,
+    uint32_t from, const struct plug_segment *segment)
+{
+	if ((segment->flags & PLUG_SEGMENT_RST) != 0 ||
+	    plug_segment_opens(segment))
+		return;
+	if (is_sure(agent, now))
+		plug_holding_answer(
+		    agent, from, &segment->tuple, PLUG__HOLDING__NO, segment);
+	else
+		probe(agent, now, from, segment);
+}
+
+static Plug__Holding
+holding(const struct plug_track_agent *agent, plug_time now,
+    const struct plug_held_flow *flow, uint32_t ack)
+{
+	if (agent->state == PLUG_HOST_DOWN)
+		return PLUG__HOLDING__NO;
+	if (flow == NULL)
+		return is_sure(agent, now) ? PLUG__HOLDING__NO
+					   : PLUG__HOLDING__UNSURE;
+	switch (flow->state) {
+	case PLUG_HELD_OPEN:
+		return PLUG__HOLDING__YES;
+	case PLUG_HELD_OPENING:
+		if (flow->answered && ack - flow->host_seq <= HANDSHAKE_WINDOW)
+			return PLUG__HOLDING__YES;
+		return flow->answered ? PLUG__HOLDING__NO
+				      : PLUG__HOLDING__UNSURE;
+	case PLUG_HELD_PROBED:
+		break;
+	}
+	return PLUG__HOLDING__UNSURE;
+}
+
+/* Return: whether the question is to be answered at once. */
+static bool
+handle_question(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Question *question, Plug__Holding *answer)
+{
+	struct plug_held_flow *flow;
+	struct plug_segment segment;
+	struct plug_tuple tuple;
+
+	if (!plug_tuple_read(question->tuple, &tuple)) {
+		agent->counters[PLUG_AGENT_BAD]++;
+		return false;
+	}
+	flow = plug_conntable_find(&agent->flows, &tuple);
+	*answer = holding(agent, now, flow, question->ack);
+	if (*answer == PLUG__HOLDING__YES)
+		flow->entry = from;
+	if (*answer != PLUG__HOLDING__UNSURE || question->segment.len == 0)
+		return true;
+	if (!plug_track_decode(agent->driver, &question->segment, &segment) ||
+	    !plug_tuple_equal(&segment.tuple, &tuple)) {
+		agent->counters[PLUG_AGENT_BAD]++;
+		return false;
+	}
+	if (flow == NULL) {
+		probe(agent, now, from, &segment);
+		return false;
+	}
+	flow->entry = from;
+	plug_intake_hand_over(agent, now, &segment);
+	return false;
+}
+
+static void
+relay_locate(
+    struct plug_track_agent *agent, uint32_t from, const Plug__Locate *locate)
+{
+	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
+	Plug__Locate relayed = *locate;
+
+	relayed.n_relay_to = 0;
+	relayed.reply_to = from;
+	notice.body_case = PLUG__TRACK_NOTICE__BODY_LOCATE;
+	notice.locate = &relayed;
+	for (size_t i = 0; i < locate->n_relay_to; i++)
+		plug_track_notify(agent->driver, locate->relay_to[i], &notice);
+}
+
+/**
+ * plug_holding_locate() - answer an entry's questions
+ * @agent: agent
+ * @now: time
+ * @from: address of the machine that sent them
+ * @locate: questions
+ */
+void
+plug_holding_locate(struct plug_track_agent *agent, plug_time now,
+    uint32_t from, const Plug__Locate *locate)
+{
+	Plug__Answer answers[ANSWERS_PER_NOTICE], *list[ANSWERS_PER_NOTICE];
+	uint32_t entry = locate->reply_to != 0 ? locate->reply_to : from;
+	size_t count = 0;
+
+	relay_locate(agent, entry, locate);
+	for (size_t i = 0; i < locate->n_questions; i++) {
+		const Plug__Question *question = locate->questions[i];
+		Plug__Answer *answer = &answers[count];
+
+		plug__answer__init(answer);
+		if (!handle_question(
+			agent, now, entry, question, &answer->holding))
+			continue;
+		answer->tuple = question->tuple;
+		list[count++] = answer;
+		if (count == ANSWERS_PER_NOTICE) {
+			send_located(agent, entry, list, count);
+			count = 0;
+		}
+	}
+	send_located(agent, entry, list, count);
+}
--- a/libplantainlug/track/balance.h
+++ b/libplantainlug/track/balance.h
@@ -13,6 +13,7 @@
  * @waiting: opening flows that wait at its agent
  * @accepting: it takes new flows
  * @failing: it has failed many requests, and is chosen when there is no other
+ * @work: how long it works on a request, microseconds; 0 while unknown
  * @reported: time of the report; 0 before the first one
  * @sent: flows sent to it since the report
  * @asked: time of the first flow sent since the report; 0 without one
@@ -24,6 +25,7 @@
 	uint32_t waiting;
 	bool accepting;
 	bool failing;
+	plug_time work;
 	plug_time reported;
 	uint32_t sent;
 	plug_time asked;
@@ -59,6 +61,8 @@
     struct plug_balance *balance, plug_time now, const Plug__Load *load);
 bool plug_target_silent(const struct plug_target *target, plug_time now);
 bool plug_target_unsettled(const struct plug_target *target, plug_time now);
+plug_time plug_balance_wait(const struct plug_balance *balance, plug_time now,
+    const struct plug_fleet_host *host);
 const struct plug_fleet_host *
 plug_balance_choose(const struct plug_balance *balance, plug_time now,
     uint64_t service, uint32_t domain, const struct plug_excluded *excluded);
--- a/libplantainlug/track/entry.h
+++ b/libplantainlug/track/entry.h
@@ -23,6 +23,7 @@
  * @agent: address of the machine that has it, while OPENING and OPEN
  * @host: hash of its host's instance id; 0 when another entry opened it
  * @started: time of the first segment
+ * @waited: a host had no time for it; another one is only tried at once
  * @retry: a host list that is out of date was the reason of a refusal
  * @excluded: hosts that have refused it
  * @lookup: while LOCATING
@@ -34,6 +35,7 @@
 	uint32_t agent;
 	uint64_t host;
 	plug_time started;
+	bool waited;
 	bool retry;
 	struct plug_excluded excluded;
 	struct plug_lookup *lookup;
--- a/libplantainlug/track/fleet.h
+++ b/libplantainlug/track/fleet.h
@@ -24,6 +24,7 @@
  * struct plug_route - where the flows of one service address go
  * @target: address and port that clients name
  * @aim: time within which clients want an answer
+ * @time_out: time after which an answer is of no use
  * @priority: of its requests, 0 is highest
  * @share_count: length of @shares
  * @weight_sum: sum of the weights; 0 when nothing may be sent
@@ -32,6 +33,7 @@
 struct plug_route {
 	struct plug_endpoint target;
 	plug_time aim;
+	plug_time time_out;
 	uint32_t priority;
 	unsigned int share_count;
 	uint32_t weight_sum;
--- a/libplantainlug/track/segment.h
+++ b/libplantainlug/track/segment.h
@@ -33,6 +33,7 @@
  * @seq: sequence number of the sender
  * @ack: what the sender has received
  * @len: bytes of data behind the header
+ * @waited: for how long its sender has sent copies of an opening segment
  * @bytes: the whole segment as received; borrowed for the call
  */
 struct plug_segment {
@@ -41,6 +42,7 @@
 	uint32_t seq;
 	uint32_t ack;
 	uint32_t len;
+	plug_time waited;
 	struct plug_str bytes;
 };
 
--- a/libplantainlug/track/worktimes.h
+++ b/libplantainlug/track/worktimes.h
@@ -1,37 +1,45 @@
 #ifndef PLUG_TRACK_WORKTIMES_H
 #define PLUG_TRACK_WORKTIMES_H
 
-#include "../client.h"
 #include "../packet.h"
+#include "estimate.h"
 
 #define PLUG_WORKTIMES_MAX 16 /* routes that one host serves */
 
 /**
- * struct plug_worktime - how long requests of one route take
+ * struct plug_worktime - what an agent knows of the requests of one route
  * @route: address and port that clients name
- * @mean: moving average, microseconds
- * @count: requests measured, up to a limit
+ * @priority: 0 is highest
+ * @aim: time within which clients want an answer; 0 while unknown
+ * @work: how long the host works on a request now
  */
 struct plug_worktime {
 	struct plug_endpoint route;
-	double mean;
-	unsigned int count;
+	uint32_t priority;
+	plug_time aim;
+	struct plug_estimate work;
 };
 
 /**
  * struct plug_worktimes - how long one host works on requests
- * @mean: moving average over all requests, microseconds
+ * @all: requests of all routes
  * @count: length of @routes
  * @routes: routes that have had a request
  */
 struct plug_worktimes {
-	double mean;
+	struct plug_estimate all;
 	unsigned int count;
 	struct plug_worktime routes[PLUG_WORKTIMES_MAX];
 };
 
+const struct plug_worktime *plug_worktimes_route(
+    const struct plug_worktimes *times, struct plug_endpoint route);
+void plug_worktimes_describe(struct plug_worktimes *times,
+    struct plug_endpoint route, uint32_t priority, plug_time aim);
 void plug_worktimes_add(
     struct plug_worktimes *times, struct plug_endpoint route, plug_time time);
+const struct plug_estimate *plug_worktimes_work(
+    const struct plug_worktimes *times, struct plug_endpoint route);
 bool plug_worktimes_short(
     const struct plug_worktimes *times, struct plug_endpoint route);
 
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "libplantainlug/track/mechanism.h"
 #include "storereader.h"
 
 /* An entry learns of changes by a waiting read. A lost answer, or a store that
@@ -232,8 +233,9 @@
 	plug_fleet_complete(fleet);
 	fleet->revision = reader->known_revision;
 	fleet->listed = reader->exact_at;
-	fleet->trusted =
-	    reader->failed == 0 || now - reader->failed > TRUST_AFTER;
+	fleet->trusted = !plug_has(PLUG_MECHANISM_TRUST) ||
+			 reader->failed == 0 ||
+			 now - reader->failed > TRUST_AFTER;
 	fleet->out_count = reader->out_count;
 	memcpy(fleet->out, reader->out, sizeof(fleet->out));
 	reader->handlers.fleet(reader->handlers.data, fleet);
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -579,7 +579,7 @@
   (ProtobufCMessageInit) plug__tuple__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__open__field_descriptors[7] =
+static const ProtobufCFieldDescriptor plug__open__field_descriptors[9] =
 {
   {
     "host",
@@ -665,8 +665,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "aim_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Open, aim_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "aged_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Open, aged_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__open__field_indices_by_name[] = {
+  8,   /* field[8] = aged_ms */
+  7,   /* field[7] = aim_ms */
   2,   /* field[2] = cold_milli_per_s */
   1,   /* field[1] = cold_ms */
   0,   /* field[0] = host */
@@ -678,7 +704,7 @@
 static const ProtobufCIntRange plug__open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor plug__open__descriptor =
 {
@@ -688,14 +714,14 @@
   "Plug__Open",
   "plug",
   sizeof(Plug__Open),
-  7,
+  9,
   plug__open__field_descriptors,
   plug__open__field_indices_by_name,
   1,  plug__open__number_ranges,
   (ProtobufCMessageInit) plug__open__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__refused__field_descriptors[3] =
+static const ProtobufCFieldDescriptor plug__refused__field_descriptors[4] =
 {
   {
     "host",
@@ -733,16 +759,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Refused, load),
+    &plug__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__refused__field_indices_by_name[] = {
   0,   /* field[0] = host */
+  3,   /* field[3] = load */
   1,   /* field[1] = reason */
   2,   /* field[2] = segment */
 };
 static const ProtobufCIntRange plug__refused__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor plug__refused__descriptor =
 {
@@ -752,7 +791,7 @@
   "Plug__Refused",
   "plug",
   sizeof(Plug__Refused),
-  3,
+  4,
   plug__refused__field_descriptors,
   plug__refused__field_indices_by_name,
   1,  plug__refused__number_ranges,
@@ -1027,7 +1066,7 @@
   (ProtobufCMessageInit) plug__lost__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor plug__load__field_descriptors[7] =
 {
   {
     "host",
@@ -1101,6 +1140,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Load, work_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__load__field_indices_by_name[] = {
   4,   /* field[4] = accepting */
@@ -1109,11 +1160,12 @@
   0,   /* field[0] = host */
   2,   /* field[2] = running */
   3,   /* field[3] = waiting */
+  6,   /* field[6] = work_us */
 };
 static const ProtobufCIntRange plug__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor plug__load__descriptor =
 {
@@ -1123,7 +1175,7 @@
   "Plug__Load",
   "plug",
   sizeof(Plug__Load),
-  6,
+  7,
   plug__load__field_descriptors,
   plug__load__field_indices_by_name,
   1,  plug__load__number_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -92,17 +92,25 @@
   ProtobufCBinaryData segment;
   uint32_t slots;
   /*
-   * it is of no use to the client after this time
+   * it is to be refused after this time
    */
   uint32_t wait_ms;
   /*
    * 0 is served first
    */
   uint32_t priority;
+  /*
+   * objective of the route's requests
+   */
+  uint32_t aim_ms;
+  /*
+   * for how long its client has waited
+   */
+  uint32_t aged_ms;
 };
 #define PLUG__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__open__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, 0, 0 }
+    , 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -114,10 +122,11 @@
   uint64_t host;
   Plug__RefusalReason reason;
   ProtobufCBinaryData segment;
+  Plug__Load *load;
 };
 #define PLUG__REFUSED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__refused__descriptor) \
-    , 0, PLUG__REFUSAL_REASON__UNSPECIFIED, {0,NULL} }
+    , 0, PLUG__REFUSAL_REASON__UNSPECIFIED, {0,NULL}, NULL }
 
 
 /*
@@ -209,10 +218,14 @@
   uint32_t waiting;
   protobuf_c_boolean accepting;
   protobuf_c_boolean failing;
+  /*
+   * how long a request takes now; 0 while unknown
+   */
+  uint32_t work_us;
 };
 #define PLUG__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -18,6 +18,8 @@
 #define WORLD_FAR	 2U    /* domain of the other hosts */
 #define WORLD_LINK	 (200) /* microseconds between any two nodes */
 #define WORLD_CLIENT_RTT (2 * PLUG_MSEC)
+#define WORLD_AIM	 (150 * PLUG_MSEC) /* objective of the route */
+#define WORLD_TIME_OUT	 (600 * PLUG_MSEC)
 
 /* Numbers for the calls below. */
 struct world_host {
