Look through waiting flows only when one of them may go

Cause: with some 300 new flows waiting at an agent, each segment of the host made it rank all of them three times, and look up their routes for each.

Change: waiters know their route, are kept in a doubly linked list, and are looked through when the host has room, when the last one may be too late, and every 10 ms for those that have waited for too long.

--- a/libplantainlug/track/admission.c
+++ b/libplantainlug/track/admission.c
@@ -45,12 +45,14 @@
 static struct plug_waiter *
 take(struct plug_admission *admission, struct plug_waiter *waiter)
 {
-	struct plug_waiter **link = &admission->first;
-
-	while (*link != waiter)
-		link = &(*link)->next;
-	*link = waiter->next;
-	waiter->next = NULL;
+	if (waiter->previous == NULL)
+		admission->first = waiter->next;
+	else
+		waiter->previous->next = waiter->next;
+	if (waiter->next == NULL)
+		admission->last = waiter->previous;
+	else
+		waiter->next->previous = waiter->previous;
 	admission->waiting--;
 	return waiter;
 }
@@ -97,12 +99,13 @@
 void
 plug_admission_add(struct plug_admission *admission, struct plug_waiter *waiter)
 {
-	struct plug_waiter **link = &admission->first;
-
-	while (*link != NULL)
-		link = &(*link)->next;
 	waiter->next = NULL;
-	*link = waiter;
+	waiter->previous = admission->last;
+	if (admission->last == NULL)
+		admission->first = waiter;
+	else
+		admission->last->next = waiter;
+	admission->last = waiter;
 	admission->waiting++;
 }
 
@@ -124,19 +127,12 @@
 	return waiter;
 }
 
-static struct plug_endpoint
-route_of(const struct plug_waiter *waiter)
-{
-	return (struct plug_endpoint){ waiter->tuple.service,
-		waiter->tuple.service_port };
-}
-
 static enum chance
 chance_of(const struct plug_waiter *waiter, plug_time now,
     const struct plug_host_work *work)
 {
 	const struct plug_estimate *time =
-	    plug_worktimes_work(work->times, route_of(waiter));
+	    plug_worktimes_work(work->times, waiter->route);
 	/* The handshake, and the way of the request and its answer. */
 	double left = (double)(waiter->due - now) - time->mean -
 		      2.0 * (double)work->handshake;
@@ -157,7 +153,7 @@
 {
 	return (uint64_t)waiter->priority * 8 +
 	       (uint64_t)chance_of(waiter, now, work) * 2 +
-	       (plug_worktimes_short(work->times, route_of(waiter)) ? 0 : 1);
+	       (plug_worktimes_short(work->times, waiter->route) ? 0 : 1);
 }
 
 /* Among equals, the oldest one goes first while its answer is safe. After that
@@ -214,7 +210,7 @@
 may_queue(const struct plug_waiter *waiter, plug_time start,
     const struct plug_host_work *work)
 {
-	return plug_worktimes_short(work->times, route_of(waiter)) &&
+	return plug_worktimes_short(work->times, waiter->route) &&
 	       chance_of(waiter, start, work) != CHANCE_LATE;
 }
 
@@ -250,7 +246,9 @@
 	plug_time start = now + wait_at_host(admission, work);
 	uint64_t best_rank = 0;
 
-	if (admission->first == NULL || !has_token(admission, now))
+	if (admission->first == NULL ||
+	    (!room && !plug_worktimes_any_short(work->times)) ||
+	    !has_token(admission, now))
 		return NULL;
 	for (waiter = admission->first; waiter != NULL; waiter = waiter->next) {
 		uint64_t rank = rank_of(waiter, start, work);
@@ -295,8 +293,9 @@
  * @now: time
  * @work: what the host has to do
  *
- * The queue is too long when the last one of it would have to be refused before
- * its turn came. Then the one that would be last is refused at once.
+ * The queue is too long when the one that came last would have to be refused
+ * before its turn came, if it went last. Then the one that goes last is refused
+ * at once.
  *
  * Return: waiter for free(3), or NULL.
  */
@@ -306,14 +305,14 @@
 {
 	plug_time wait = plug_admission_wait(admission, work);
 	struct plug_waiter *worst = admission->first, *waiter;
-	plug_time longest = 0;
 	uint64_t worst_rank = 0;
 
+	if (worst == NULL || !plug_has(PLUG_MECHANISM_OVERFLOW) ||
+	    now + wait <= admission->last->until)
+		return NULL;
 	for (waiter = admission->first; waiter != NULL; waiter = waiter->next) {
 		uint64_t rank = rank_of(waiter, now, work);
 
-		if (waiter->until - now > longest)
-			longest = waiter->until - now;
 		if (rank > worst_rank ||
 		    (rank == worst_rank &&
 			!goes_before_older(waiter, now, work))) {
@@ -321,9 +320,7 @@
 			worst_rank = rank;
 		}
 	}
-	if (worst == NULL || !plug_has(PLUG_MECHANISM_OVERFLOW))
-		return NULL;
-	return wait <= longest ? NULL : take(admission, worst);
+	return take(admission, worst);
 }
 
 /**
--- a/libplantainlug/track/admission.h
+++ b/libplantainlug/track/admission.h
@@ -7,7 +7,9 @@
 /**
  * struct plug_waiter - an opening segment that waits for its host
  * @next: the one that came after it
+ * @previous: the one that came before it
  * @tuple: flow
+ * @route: what is known of its route, or NULL
  * @entry: address of the entry that sent it
  * @host: hash of the instance id of the host that it is meant for
  * @priority: of its route, 0 is highest
@@ -18,7 +20,9 @@
  */
 struct plug_waiter {
 	struct plug_waiter *next;
+	struct plug_waiter *previous;
 	struct plug_tuple tuple;
+	const struct plug_worktime *route;
 	uint32_t entry;
 	uint64_t host;
 	uint32_t priority;
@@ -50,6 +54,7 @@
  * @tokens: new flows that a cold host may be sent now
  * @filled: time when @tokens was last filled
  * @first: waiters in the order of their arrival
+ * @last: last of them
  * @waiting: their number
  */
 struct plug_admission {
@@ -59,6 +64,7 @@
 	double tokens;
 	plug_time filled;
 	struct plug_waiter *first;
+	struct plug_waiter *last;
 	unsigned int waiting;
 };
 
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -136,6 +136,7 @@
 	agent->state = state;
 	plug_report_all_due(agent);
 	plug_intake_step(agent, now);
+	plug_intake_refuse(agent, now);
 }
 
 /* Answers that a living host would have given since it last sent anything. */
@@ -156,7 +157,8 @@
 			continue;
 		left--;
 		work = plug_worktimes_work(
-		    &agent->times, plug_tuple_route(&conn->tuple));
+		    &agent->times, plug_worktimes_route(&agent->times,
+				       plug_tuple_route(&conn->tuple)));
 		if (flow->asked > since)
 			since = flow->asked;
 		missed += (double)(now - since) /
@@ -449,6 +451,7 @@
 	check_failing(agent, now);
 	plug_intake_expire(agent, now);
 	plug_intake_step(agent, now);
+	plug_intake_refuse(agent, now);
 	next = plug_report_step(agent, now);
 	if (now >= agent->next_sweep) {
 		agent->next_sweep = now + SWEEP_TIME;
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -136,18 +136,31 @@
 }
 
 static void
-refuse_waiters(struct plug_track_agent *agent, plug_time now)
+refuse_overflow(struct plug_track_agent *agent, plug_time now)
 {
 	const struct plug_host_work work = plug_intake_work(agent);
+	struct plug_waiter *waiter;
+
+	while ((waiter = plug_admission_overflow(
+		    &agent->admission, now, &work)) != NULL)
+		refuse_waiter(agent, waiter, PLUG__REFUSAL_REASON__BUSY);
+}
+
+/**
+ * plug_intake_refuse() - refuse the new flows that have waited for too long, or
+ *   that the host doesn't take any more
+ * @agent: agent
+ * @now: time
+ */
+void
+plug_intake_refuse(struct plug_track_agent *agent, plug_time now)
+{
 	struct refusal refused = { .agent = agent, .now = now };
 	struct plug_waiter *waiter;
 
 	while ((waiter = plug_admission_take_if(
 		    &agent->admission, is_refused, &refused)) != NULL)
 		refuse_waiter(agent, waiter, refused.reason);
-	while ((waiter = plug_admission_overflow(
-		    &agent->admission, now, &work)) != NULL)
-		refuse_waiter(agent, waiter, PLUG__REFUSAL_REASON__BUSY);
 }
 
 static void
@@ -170,10 +183,15 @@
 	plug_intake_hand_over(agent, now, &segment);
 }
 
-static void
-admit_waiters(struct plug_track_agent *agent, plug_time now)
+/**
+ * plug_intake_step() - hand over the new flows that the host has room for
+ * @agent: agent
+ * @now: time
+ */
+void
+plug_intake_step(struct plug_track_agent *agent, plug_time now)
 {
-	while (agent->state == PLUG_HOST_UP) {
+	while (agent->admission.first != NULL && agent->state == PLUG_HOST_UP) {
 		const struct plug_host_work work = plug_intake_work(agent);
 		struct plug_waiter *waiter =
 		    plug_admission_next(&agent->admission, now, &work);
@@ -185,20 +203,6 @@
 	}
 }
 
-/**
- * plug_intake_step() - go on after an answer, some time or news of the host
- * @agent: agent
- * @now: time
- */
-void
-plug_intake_step(struct plug_track_agent *agent, plug_time now)
-{
-	if (agent->admission.first == NULL)
-		return;
-	admit_waiters(agent, now);
-	refuse_waiters(agent, now);
-}
-
 static plug_time
 pending_time(const struct plug_track_agent *agent)
 {
@@ -260,6 +264,8 @@
 		return;
 	*waiter = (struct plug_waiter){
 		.tuple = segment->tuple,
+		.route = plug_worktimes_route(
+		    &agent->times, plug_tuple_route(&segment->tuple)),
 		.entry = from,
 		.host = open->host,
 		.priority = open->priority,
@@ -271,6 +277,7 @@
 	memcpy(waiter->bytes, segment->bytes.data, segment->bytes.len);
 	plug_admission_add(&agent->admission, waiter);
 	plug_intake_step(agent, now);
+	refuse_overflow(agent, now);
 	if (agent->admission.waiting > waiting)
 		agent->counters[PLUG_AGENT_QUEUED]++;
 }
--- a/libplantainlug/track/worktimes.c
+++ b/libplantainlug/track/worktimes.c
@@ -77,35 +77,45 @@
 /**
  * plug_worktimes_work() - how long the host works on a request now
  * @times: times
- * @route: route of the request
+ * @route: route of the request, or NULL
  *
  * Return: of the route, or of all when it has not been measured.
  */
 const struct plug_estimate *
 plug_worktimes_work(
-    const struct plug_worktimes *times, struct plug_endpoint route)
+    const struct plug_worktimes *times, const struct plug_worktime *route)
 {
-	const struct plug_worktime *known = plug_worktimes_route(times, route);
-
-	return known != NULL && known->work.count > 0 ? &known->work
+	return route != NULL && route->work.count > 0 ? &route->work
 						      : &times->all;
 }
 
 /**
  * plug_worktimes_short() - whether requests of a route take little of the host
  * @times: times
- * @route: route
+ * @route: route, or NULL
  *
  * When more flows wait than can be served in time, those with short requests go
  * first among equally urgent ones: several of them are served for one other.
  */
 bool
 plug_worktimes_short(
-    const struct plug_worktimes *times, struct plug_endpoint route)
+    const struct plug_worktimes *times, const struct plug_worktime *route)
 {
-	const struct plug_worktime *known = plug_worktimes_route(times, route);
+	return plug_has(PLUG_MECHANISM_SHORT) && route != NULL &&
+	       route->work.count >= COUNT_MIN &&
+	       route->work.mean <= SHORT_PART * times->all.mean;
+}
 
-	return plug_has(PLUG_MECHANISM_SHORT) && known != NULL &&
-	       known->work.count >= COUNT_MIN &&
-	       known->work.mean <= SHORT_PART * times->all.mean;
+/**
+ * plug_worktimes_any_short() - whether any route has such requests
+ * @times: times
+ */
+bool
+plug_worktimes_any_short(const struct plug_worktimes *times)
+{
+	for (unsigned int i = 0; i < times->count; i++) {
+		if (plug_worktimes_short(times, &times->routes[i]))
+			return true;
+	}
+	return false;
 }
--- a/libplantainlug/track/worktimes.h
+++ b/libplantainlug/track/worktimes.h
@@ -39,8 +39,9 @@
 void plug_worktimes_add(
     struct plug_worktimes *times, struct plug_endpoint route, plug_time time);
 const struct plug_estimate *plug_worktimes_work(
-    const struct plug_worktimes *times, struct plug_endpoint route);
+    const struct plug_worktimes *times, const struct plug_worktime *route);
 bool plug_worktimes_short(
-    const struct plug_worktimes *times, struct plug_endpoint route);
+    const struct plug_worktimes *times, const struct plug_worktime *route);
+bool plug_worktimes_any_short(const struct plug_worktimes *times);
 
 #endif
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -748,6 +748,8 @@
 		.client_port = port,
 		.service = 1,
 		.service_port = route };
+	waiter->route = plug_worktimes_route(
+	    &queue->times, (struct plug_endpoint){ 1, route });
 	waiter->priority = priority;
 	waiter->due = now + 250 * PLUG_MSEC;
 	waiter->until = now + 500 * PLUG_MSEC;
@@ -895,14 +897,16 @@
 
 	plug_worktimes_add(&times, sheet, 5 * PLUG_MSEC);
 	plug_worktimes_add(&times, feed, 40 * PLUG_MSEC);
-	ck_assert(!plug_worktimes_short(&times, sheet));
+	ck_assert(!plug_worktimes_any_short(&times));
 	for (unsigned int i = 0; i < 40; i++) {
 		plug_worktimes_add(&times, feed, 40 * PLUG_MSEC);
 		if (i % 8 == 0)
 			plug_worktimes_add(&times, sheet, 5 * PLUG_MSEC);
 	}
-	ck_assert(plug_worktimes_short(&times, sheet));
-	ck_assert(!plug_worktimes_short(&times, feed));
+	ck_assert(
+	    plug_worktimes_short(&times, plug_worktimes_route(&times, sheet)));
+	ck_assert(
+	    !plug_worktimes_short(&times, plug_worktimes_route(&times, feed)));
 }
 END_TEST
 
