Answer a FIN of a flow that no host has by a reset

Cause: a lookup for a client that only closes its flow ended undecided, since only data counted as owed.

Ruled out: resets for mere acknowledgements, which may follow a flow that has just closed.

Change: a FIN is owed an answer, as data is; the client is reset when every host of an exact list has said no.

Test: closing_client_is_told fails before the change.

--- a/libplantainlug/track/admission.c
+++ b/libplantainlug/track/admission.c
@@ -64,8 +64,17 @@
 void
 plug_admission_finish(struct plug_admission *admission)
 {
-	while (admission->first != NULL)
-		free(take(admission, admission->first));
+	struct plug_waiter *waiter = admission->first;
+
+	while (waiter != NULL) {
+		struct plug_waiter *next = waiter->next;
+
+		free(waiter);
+		waiter = next;
+	}
+	admission->first = NULL;
+	admission->last = NULL;
+	admission->waiting = 0;
 }
 
 /**
--- a/libplantainlug/track/lookup.c
+++ b/libplantainlug/track/lookup.c
@@ -92,12 +92,12 @@
 
 	lookup->ack = segment->ack;
 	/* Hosts are asked by the first one; only data has an answer. */
-	if (segment->len > 0 && !lookup->owed)
+	if (segment->len > 0 && !lookup->has_data) {
+		lookup->has_data = true;
 		i = 0;
-	if (segment->len > 0)
-		lookup->owed = true;
+	}
 	if (segment->len > 0 || (segment->flags & PLUG_SEGMENT_FIN) != 0)
-		lookup->probing = true;
+		lookup->owed = true;
 	if (i == PLUG_LOOKUP_SAVED || segment->bytes.len > PLUG_SEGMENT_MAX)
 		return;
 	memcpy(lookup->saved[i], segment->bytes.data, segment->bytes.len);
@@ -459,7 +459,7 @@
 	}
 	ask_silent(lookup, now, questions);
 	tally = count_answers(lookup);
-	if (tally.unsure > 0 && lookup->wide && lookup->probing)
+	if (tally.unsure > 0 && lookup->wide && lookup->owed)
 		probe_unsure(lookup, now, tally, driver);
 	if (tally.silent + tally.unsure > 0 || !lookup->wide)
 		return PLUG_LOOKUP_PENDING;
--- a/libplantainlug/track/lookup.h
+++ b/libplantainlug/track/lookup.h
@@ -43,10 +43,11 @@
  * @stale: the host list has changed since @hosts were taken from it
  * @wide: hosts outside the own domain are asked, too
  * @refreshed: an exact host list was asked for
- * @owed: the client waits for an answer, so that it is told when no host has
- *   the flow; a mere acknowledgement may follow a flow that has just closed
- * @probing: a host may be asked by a segment: not by a mere acknowledgement,
- *   which no host answers
+ * @owed: the client has sent data or a FIN, so it waits for an answer, is told
+ *   when no host has the flow, and hosts may be asked by a segment. No host
+ *   answers a mere acknowledgement, which may follow a flow that has just
+ * closed
+ * @has_data: one of the saved segments has data
  * @ack: last acknowledgement of the client
  * @silent: hosts that have not answered and may still
  * @holder: agent whose host has the flow, or 0
@@ -69,7 +70,7 @@
 	bool wide;
 	bool refreshed;
 	bool owed;
-	bool probing;
+	bool has_data;
 	uint32_t ack;
 	unsigned int silent;
 	uint32_t holder;
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -228,6 +228,29 @@
 }
 END_TEST
 
+/* Guards against lookups without an end for a client that only says goodbye:
+ * each copy of its FIN began one, 500 to 700 a second long after the recovery
+ * on tahseel-amman-grown trouble-1. */
+START_TEST(closing_client_is_told)
+{
+	world_open(&world, 0, 7);
+	for (unsigned int i = 0; i < 5; i++) {
+		world.hosts[i].holds[7] = false;
+		world.hosts[i].answers[7] = false;
+		world_restart_agent(&world, i);
+	}
+	world_restart_entry(&world, 0);
+	for (unsigned int i = 0; i < 3; i++) {
+		world_fin(&world, 0, 7);
+		world_run(&world, 30 * PLUG_MSEC);
+		world_adopt_all(&world, true);
+		world_run(&world, 30 * PLUG_MSEC);
+	}
+	ck_assert_uint_ge(world.clients[7].resets, 1);
+	ck_assert_uint_eq(world.entries[0].counters[PLUG_ENTRY_LOOKUPS], 1);
+}
+END_TEST
+
 /* Guards against the reset of a flow whose host this entry doesn't list yet. */
 START_TEST(no_reset_before_an_exact_list)
 {
@@ -1057,6 +1080,7 @@
 	tcase_add_test(flows, no_reset_by_a_list_that_is_not_trusted);
 	tcase_add_test(flows, no_reset_while_an_agent_is_silent);
 	tcase_add_test(flows, crashed_host_resets_its_flows);
+	tcase_add_test(flows, closing_client_is_told);
 	tcase_add_test(flows, leaving_host_may_work_for_long);
 	tcase_add_test(flows, copy_of_a_request_is_no_request);
 	tcase_add_test(flows, leaving_host_keeps_its_flows);
