Decide from the flow that goes last whether the queue is too long

plug_admission_overflow() compared the expected wait with the deadline of the flow that came last, and then refused the one that goes last. A copy of an old SYN, which has little time left, so made the agent refuse one waiting flow after another that would still have been served. Now the flow that goes last alone decides.

Ruled out as the cause of these refusals: the estimate of the host's speed, which agreed with the measured answers.

Fewer flows are refused that had time left.

--- a/libplantainlug/track/admission.c
+++ b/libplantainlug/track/admission.c
@@ -302,9 +302,8 @@
  * @now: time
  * @work: what the host has to do
  *
- * The queue is too long when the one that came last would have to be refused
- * before its turn came, if it went last. Then the one that goes last is refused
- * at once.
+ * The queue is too long when the one that goes last would have to be refused
+ * before its turn came. Then that one is refused at once.
  *
  * Return: waiter for free(3), or NULL.
  */
@@ -316,8 +315,7 @@
 	struct plug_waiter *worst = admission->first, *waiter;
 	uint64_t worst_rank = 0;
 
-	if (worst == NULL || !plug_has(PLUG_MECHANISM_OVERFLOW) ||
-	    now + wait <= admission->last->until)
+	if (worst == NULL || !plug_has(PLUG_MECHANISM_OVERFLOW))
 		return NULL;
 	for (waiter = admission->first; waiter != NULL; waiter = waiter->next) {
 		uint64_t rank = rank_of(waiter, now, work);
@@ -329,7 +327,7 @@
 			worst_rank = rank;
 		}
 	}
-	return take(admission, worst);
+	return now + wait <= worst->until ? NULL : take(admission, worst);
 }
 
 /**
