Find a host dead by every segment that it should have answered

Its host refused connections and answered nothing, but was never found dead, so clients were never told.

Ruled out: the entry (it had asked, and got no sure answer) and the health check (it had found the host refusing).

An agent now counts the time since each flow's first data or FIN that its host has not answered, whether a request, a copy of one or a probe. With more such flows than slots the count is still limited to the slots, and a flow whose host has closed counts no more.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -20,7 +20,7 @@
 #define UNANSWERED_TIME (250 * PLUG_MSEC)
 
 /* Until a request was measured. */
-#define WORK_UNKNOWN (200 * PLUG_MSEC)
+#define WORK_UNKNOWN (100 * PLUG_MSEC)
 
 /* A request that is unanswered for longer, and for longer than this many times
  * what it rarely takes, is not at work any more. */
@@ -144,29 +144,28 @@
 missed_answers(const struct plug_track_agent *agent, plug_time now)
 {
 	const struct plug_conn *conn = agent->flows.newest;
-	uint32_t left = agent->running;
+	unsigned int waiting = 0;
 	double missed = 0;
 
-	for (; conn != NULL && left > 0; conn = conn->older) {
+	for (; conn != NULL; conn = conn->older) {
 		const struct plug_held_flow *flow =
 		    (const struct plug_held_flow *)conn;
 		const struct plug_estimate *work;
 		plug_time since = agent->unanswered;
 
-		if (!flow->working)
+		if (flow->unanswered == 0)
 			continue;
-		left--;
+		waiting++;
 		work = plug_worktimes_work(
 		    &agent->times, plug_worktimes_route(&agent->times,
 				       plug_tuple_route(&conn->tuple)));
-		if (flow->asked > since)
-			since = flow->asked;
+		if (flow->unanswered > since)
+			since = flow->unanswered;
 		missed += (double)(now - since) /
 			  (work->count > 0 ? work->mean : (double)WORK_UNKNOWN);
 	}
-	if (agent->admission.slots > 0 &&
-	    agent->running > agent->admission.slots)
-		missed *= (double)agent->admission.slots / agent->running;
+	if (waiting > agent->admission.slots)
+		missed *= (double)agent->admission.slots / waiting;
 	return missed;
 }
 
@@ -224,6 +223,8 @@
 	}
 	if (is_new && !fin && !flow->working && !flow->client_fin)
 		plug_intake_request(agent, now, flow);
+	if (!flow->host_fin)
+		plug_intake_expect(now, flow, segment);
 	if (fin) {
 		plug_held_count(agent, flow, -1);
 		flow->client_fin = true;
@@ -318,6 +319,7 @@
 {
 	bool probed = flow->state == PLUG_HELD_PROBED;
 
+	flow->unanswered = 0;
 	plug_held_count(agent, flow, -1);
 	if ((segment->flags & PLUG_SEGMENT_SYN) != 0) {
 		flow->answered = true;
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -32,6 +32,8 @@
  * @working: a request is at the host
  * @asked: time when the host got it, or the opening segment of the flow
  * @waited: all slots of the host were taken then
+ * @unanswered: time when the host got the first data or FIN of the client that
+ *   it has sent nothing after; 0 without one
  * @client_end: sequence number behind the data that the client has sent; valid
  *   after its first data
  * @client_sent: the client has sent data
@@ -49,6 +51,7 @@
 	bool working;
 	plug_time asked;
 	bool waited;
+	plug_time unanswered;
 	uint32_t client_end;
 	bool client_sent;
 	bool client_fin;
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -47,6 +47,21 @@
 	plug_track_segment(agent->driver, PLUG_TRACK_TO_HOST, 0, segment);
 }
 
+/**
+ * plug_intake_expect() - a segment is handed to the host that it answers
+ * @now: time
+ * @flow: its flow
+ * @segment: segment; no host answers a mere acknowledgement
+ */
+void
+plug_intake_expect(plug_time now, struct plug_held_flow *flow,
+    const struct plug_segment *segment)
+{
+	if (flow->unanswered == 0 &&
+	    (segment->len > 0 || (segment->flags & PLUG_SEGMENT_FIN) != 0))
+		flow->unanswered = now;
+}
+
 static struct plug_segment
 waiting_segment(const struct plug_waiter *waiter)
 {
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -30,6 +30,8 @@
 void plug_intake_refused(struct plug_track_agent *agent, uint32_t entry,
     uint64_t host, const struct plug_segment *segment,
     Plug__RefusalReason reason);
+void plug_intake_expect(plug_time now, struct plug_held_flow *flow,
+    const struct plug_segment *segment);
 void plug_intake_hand_over(struct plug_track_agent *agent, plug_time now,
     const struct plug_segment *segment);
 struct plug_host_work plug_intake_work(const struct plug_track_agent *agent);
--- a/libplantainlug/track/agent_lookup.c
+++ b/libplantainlug/track/agent_lookup.c
@@ -68,6 +68,7 @@
 	if (flow == NULL)
 		return;
 	flow->ack = segment->ack;
+	plug_intake_expect(now, flow, segment);
 	agent->counters[PLUG_AGENT_PROBES]++;
 	plug_intake_hand_over(agent, now, segment);
 }
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -215,6 +215,29 @@
 }
 END_TEST
 
+/* Guards against clients that are never told that their host is dead because
+ * its agent has restarted and knows none of its flows: tests/scripts/tracking.
+ * Such an agent knows neither how long requests take nor how many run at a
+ * time. Clients retransmit what is unanswered. */
+START_TEST(dead_host_beside_a_new_agent)
+{
+	world_only(&world, 0);
+	for (uint16_t port = 1; port <= 20; port++)
+		world_open(&world, 0, port);
+	world_host_crash(&world, 0);
+	world_restart_agent(&world, 0);
+	for (unsigned int round = 0; round < 2; round++) {
+		for (uint16_t port = 1; port <= 20; port++)
+			world_data(&world, 0, port);
+		world_run(&world, 3 * PLUG_SEC);
+		world_adopt_all(&world, true);
+		world_run(&world, 400 * PLUG_MSEC);
+	}
+	for (uint16_t port = 1; port <= 20; port++)
+		ck_assert_uint_ge(world.clients[port].resets, 1);
+}
+END_TEST
+
 /* Guards against a request that is counted for ever because the client's copy
  * of it came when its answer was on the way: the host then seems full. */
 START_TEST(copy_of_a_request_is_no_request)
@@ -1083,6 +1106,7 @@
 	tcase_add_test(flows, closing_client_is_told);
 	tcase_add_test(flows, leaving_host_may_work_for_long);
 	tcase_add_test(flows, copy_of_a_request_is_no_request);
+	tcase_add_test(flows, dead_host_beside_a_new_agent);
 	tcase_add_test(flows, leaving_host_keeps_its_flows);
 	tcase_add_test(flows, returned_segment_ends_the_flow);
 	tcase_add_test(flows, opening_flow_whose_host_has_gone);
