--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,15 @@
 
 BUILD ?= build
 CC ?= cc
-PACKAGES = apr-1 libprotobuf-c json-c libtirpc libsodium libcurl libmicrohttpd \
-	log4c argtable2 libxxhash
+PACKAGES = apr-1 libprotobuf-c json-c libtirpc libsodium libevent_extra \
+	libevent_core log4c argtable2 libxxhash
+# Of the stand-ins, which are not shipped.
+STANDIN_PACKAGES = libmicrohttpd
 
 # pkg-config answers only after the packages are installed.
 PKG_CFLAGS = $(shell pkg-config --cflags $(PACKAGES))
 PKG_LIBS = $(shell pkg-config --libs $(PACKAGES))
+STANDIN_LIBS = $(shell pkg-config --libs $(STANDIN_PACKAGES))
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wwrite-strings -Wvla
 OPTIMISE ?= -O2 -g
@@ -24,7 +27,8 @@
 
 LIB_SOURCES = $(wildcard libplantainlug/*.c libplantainlug/track/*.c) \
 	proto/control.pb-c.c proto/track.pb-c.c
-DRIVER_SOURCES = $(wildcard net/*.c standins/*.c platform/*.c)
+DRIVER_SOURCES = $(wildcard net/*.c platform/*.c)
+STANDIN_SOURCES = $(filter-out standins/main.c,$(wildcard standins/*.c))
 CLI_SOURCES = $(wildcard cli/*.c)
 UNIT_SOURCES = $(wildcard tests/unit/*.c)
 BENCH_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/bench_*.c))
@@ -40,15 +44,22 @@
 objects = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIB_OBJECTS = $(call objects,$(LIB_SOURCES))
 PROGRAM_OBJECTS = $(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES) $(CLI_SOURCES))
+STANDIN_OBJECTS = $(call objects,$(STANDIN_SOURCES))
 
-all: $(BUILD)/plantainlug $(BUILD)/scenario $(BUILD)/replay
+all: $(BUILD)/plantainlug $(BUILD)/plantainlug-standin $(BUILD)/scenario \
+	$(BUILD)/replay
 
 $(BUILD)/plantainlug: $(PROGRAM_OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/plantainlug-standin: $(LIB_OBJECTS) $(STANDIN_OBJECTS) \
+	$(call objects,$(DRIVER_SOURCES) standins/main.c)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $(STANDIN_LIBS)
+
 $(BUILD)/unit-tests: $(call objects,$(UNIT_SOURCES)) $(LIB_OBJECTS) \
-	$(call objects,$(DRIVER_SOURCES))
-	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $$(pkg-config --libs check)
+	$(STANDIN_OBJECTS) $(call objects,$(DRIVER_SOURCES))
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $(STANDIN_LIBS) \
+	    $$(pkg-config --libs check)
 
 $(BUILD)/scenario: $(call objects,$(SCENARIO_SOURCES)) $(LIB_OBJECTS) \
 	$(BUILD)/standins/callerflow.o
@@ -62,8 +73,8 @@
 BENCH_OBJECTS = $(call objects,bench/common.c bench/config.c bench/path.c \
 	bench/rig.c)
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_OBJECTS) \
-	$(LIB_OBJECTS) $(call objects,$(DRIVER_SOURCES))
-	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	$(LIB_OBJECTS) $(STANDIN_OBJECTS) $(call objects,$(DRIVER_SOURCES))
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) $(STANDIN_LIBS)
 
 $(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SOURCES) $(FUZZ_DRIVERS)
 	@mkdir -p $(@D)
@@ -87,7 +98,7 @@
 sanitized:
 	$(MAKE) BUILD=$(SANITIZE_BUILD) OPTIMISE="-O1 -g" \
 	    SANITIZE="$(SANITIZE_FLAGS)" $(SANITIZE_BUILD)/plantainlug \
-	    $(SANITIZE_BUILD)/unit-tests $(SANITIZE_BUILD)/scenario
+	    $(SANITIZE_BUILD)/plantainlug-standin $(SANITIZE_BUILD)/unit-tests $(SANITIZE_BUILD)/scenario
 
 fuzzers: $(patsubst tests/fuzz/%.c,$(BUILD)/fuzz/%,$(FUZZ_SOURCES))
 
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -11,9 +11,6 @@
 int plug_cli_tracking_agent(int argc, char **argv);
 int plug_cli_status(int argc, char **argv);
 int plug_cli_check(int argc, char **argv);
-int plug_cli_standin_fabric(int argc, char **argv);
-int plug_cli_standin_upstream(int argc, char **argv);
-int plug_cli_standin_caller(int argc, char **argv);
 int plug_cli_explain(int argc, char **argv);
 
 enum plug_code plug_cli_check_role(
--- a/cli/main.c
+++ b/cli/main.c
@@ -3,7 +3,6 @@
 
 #include "commands.h"
 #include "libplantainlug/plantainlug.h"
-#include "standins/configservice.h"
 
 static const struct command {
 	const char *name;
@@ -20,14 +19,6 @@
 	{ "check", plug_cli_check, "check a document or a settings file" },
 	{ "explain", plug_cli_explain,
 	    "tell from logs why something happened" },
-	{ "standin-config", plug_standin_config_main,
-	    "serve files as the configuration service" },
-	{ "standin-fabric", plug_cli_standin_fabric,
-	    "run the fabric of a test deployment" },
-	{ "standin-upstream", plug_cli_standin_upstream,
-	    "run an upstream of a test deployment" },
-	{ "standin-caller", plug_cli_standin_caller,
-	    "run callers of a test deployment" },
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/net/control.c
+++ b/net/control.c
@@ -8,7 +8,7 @@
 #include "frame.h"
 
 #define TICK_INTERVAL (100 * PLUG_MSEC)
-#define POLL_WAIT     10 /* milliseconds; libcurl is polled as often */
+#define POLL_WAIT     10 /* milliseconds; the service is polled as often */
 #define STATUS_SIZE   ((size_t)256 * 1024) /* bytes of a status text */
 
 /* A frame on its way from a traffic thread to a peer. */
@@ -372,7 +372,7 @@
 		    control->instance, &handlers);
 		if (control->platform == NULL)
 			return plug_status_set(status, PLUG_E_LIBRARY,
-			    "libcurl can't be initialized");
+			    "libevent can't be initialized");
 	}
 	control->node =
 	    plug_node_create(&control->client, &config, plug_clock_now());
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -1,200 +1,377 @@
-#include <curl/curl.h>
-#include <errno.h>
-#include <stdlib.h>
-#include <string.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
-#include "buffer.h"
 #include "fetch.h"
-#include "pollset.h"
 
-#define CONNECT_MS	500L /* to open a connection; a few round trips */
-#define KEEPALIVE_S	1L   /* idle time and interval of TCP probes */
-#define KEEPALIVE_COUNT 2    /* unanswered probes that end a connection */
+#define CONNECT_MS	500L  /* to open a connection; a few round trips */
+#define KEEPALIVE_S	1     /* idle time and interval of TCP probes */
+#define KEEPALIVE_COUNT 2     /* unanswered probes that end a connection */
+#define HEADERS_MAX	16384 /* bytes of an answer's header */
+#define LINE_SIZE	1024  /* bytes of one line of it that is handed on */
+
+/* The connection could not be opened; libevent doesn't tell why. */
+#define ERROR_CONNECT (-1)
 
 /* Bytes that are sent and not acknowledged for this long end a connection, as
  * those through which nothing passes any more give no other sign. */
 #define UNACKNOWLEDGED_MS 1500
 
-struct plug_fetch {
-	CURLM *multi;
-};
-
 /**
  * struct plug_fetch_slot - one GET at a time
- * @fetch: owner
+ * @loop: its thread's loop
  * @handlers: what becomes of it
- * @easy: transfer with its connection
- * @busy: a GET is under way
- * @sock: socket of the connection that the last GET has left open, -1 without
- *   one; libcurl may close it during any GET of @fetch
- * @body: answer
- * @len: length of @body in bytes
- * @capacity: its allocated size in bytes
+ * @connection: connection, opened when it is needed, or NULL
+ * @host: address that @connection leads to
+ * @port: its port
+ * @request: GET under way, or NULL
+ * @path: path and query of the GET
+ * @timer: ends a GET that takes too long
+ * @left_ms: milliseconds that it may take after the next expiry of @timer
+ * @connected: @connection is open and kept for the next GET
+ * @reused: the GET uses a connection that was kept
+ * @starting: the GET is just being started, so that its end is a failure of
+ *   the start
+ * @error: why the GET has failed, of type enum evhttp_request_error; or
+ *   ERROR_CONNECT
  */
 struct plug_fetch_slot {
-	struct plug_fetch *fetch;
+	struct plug_loop *loop;
 	struct plug_fetch_handlers handlers;
-	CURL *easy;
-	bool busy;
-	int sock;
-	uint8_t *body;
-	size_t len;
-	size_t capacity;
+	struct evhttp_connection *connection;
+	char host[INET_ADDRSTRLEN];
+	uint16_t port;
+	struct evhttp_request *request;
+	char path[PLUG_FETCH_URL_SIZE];
+	struct event *timer;
+	long left_ms;
+	bool connected;
+	bool reused;
+	bool starting;
+	int error;
 };
 
+static void on_timer(int fd, short what, void *data);
+static bool send_request(struct plug_fetch_slot *slot);
+
 /**
- * plug_fetch_create() - prepare for GETs
+ * plug_fetch_slot_create() - prepare one GET at a time
+ * @loop: loop of the calling thread
+ * @handlers: what becomes of the GETs; copied
  *
- * Return: object for plug_fetch_destroy(), or NULL when libcurl failed.
+ * Return: slot for plug_fetch_slot_destroy(), or NULL when memory ran out.
  */
-struct plug_fetch *
-plug_fetch_create(void)
+struct plug_fetch_slot *
+plug_fetch_slot_create(
+    struct plug_loop *loop, const struct plug_fetch_handlers *handlers)
 {
-	struct plug_fetch *fetch = calloc(1, sizeof(*fetch));
+	struct plug_fetch_slot *slot = calloc(1, sizeof(*slot));
 
-	if (fetch == NULL ||
-	    curl_global_init(CURL_GLOBAL_NOTHING) != CURLE_OK) {
-		free(fetch);
+	if (slot == NULL)
 		return NULL;
-	}
-	fetch->multi = curl_multi_init();
-	if (fetch->multi == NULL) {
-		free(fetch);
+	slot->loop = loop;
+	slot->handlers = *handlers;
+	slot->timer = evtimer_new(plug_loop_base(loop), on_timer, slot);
+	if (slot->timer == NULL) {
+		free(slot);
 		return NULL;
 	}
-	return fetch;
+	return slot;
+}
+
+static void
+close_connection(struct plug_fetch_slot *slot)
+{
+	slot->connected = false;
+	if (slot->connection == NULL)
+		return;
+	evhttp_connection_set_closecb(slot->connection, NULL, NULL);
+	evhttp_connection_free(slot->connection);
+	slot->connection = NULL;
 }
 
 /**
- * plug_fetch_destroy() - release what plug_fetch_create() has made
- * @fetch: object without slots, or NULL
+ * plug_fetch_slot_destroy() - end a slot and its GET
+ * @slot: slot, or NULL; not from within its header handler
  */
 void
-plug_fetch_destroy(struct plug_fetch *fetch)
+plug_fetch_slot_destroy(struct plug_fetch_slot *slot)
 {
-	if (fetch == NULL)
+	if (slot == NULL)
 		return;
-	(void)curl_multi_cleanup(fetch->multi);
-	curl_global_cleanup();
-	free(fetch);
+	plug_fetch_cancel(slot);
+	close_connection(slot);
+	event_free(slot->timer);
+	free(slot);
 }
 
-static size_t
-on_body(char *data, size_t size, size_t count, void *user)
+static void
+arm_timer(struct plug_fetch_slot *slot, long ms)
 {
-	struct plug_fetch_slot *slot = user;
-	size_t len = size * count;
-
-	if (slot->len + len > slot->handlers.body_max ||
-	    !plug_buffer_reserve(&slot->body, &slot->capacity, slot->len + len))
-		return 0;
-	memcpy(slot->body + slot->len, data, len);
-	slot->len += len;
-	return len;
+	const struct timeval tv = {
+		.tv_sec = ms / 1000,
+		.tv_usec = ms % 1000 * 1000,
+	};
+
+	(void)evtimer_add(slot->timer, &tv);
 }
 
-static size_t
-on_header(char *data, size_t size, size_t count, void *user)
+static int
+socket_of(const struct plug_fetch_slot *slot)
 {
-	struct plug_fetch_slot *slot = user;
-	const struct plug_str line = { data, size * count };
-
-	if (slot->handlers.header != NULL)
-		slot->handlers.header(slot->handlers.data, line);
-	return line.len;
+	return slot->connection == NULL
+		   ? -1
+		   : bufferevent_getfd(
+			 evhttp_connection_get_bufferevent(slot->connection));
 }
 
-static int
-on_options(void *user, curl_socket_t fd, curlsocktype purpose)
+static void
+set_options(int fd)
 {
-	const int count = KEEPALIVE_COUNT;
+	const int on = 1, interval = KEEPALIVE_S, count = KEEPALIVE_COUNT;
 	const unsigned int unacknowledged = UNACKNOWLEDGED_MS;
 
-	(void)user;
-	(void)purpose;
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof(interval));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
 	    sizeof(unacknowledged));
-	return CURL_SOCKOPT_OK;
 }
 
-/**
- * plug_fetch_slot_create() - prepare one GET at a time
- * @fetch: object
- * @handlers: what becomes of the GETs; copied
- *
- * Return: slot for plug_fetch_slot_destroy(), or NULL when memory ran out.
- */
-struct plug_fetch_slot *
-plug_fetch_slot_create(
-    struct plug_fetch *fetch, const struct plug_fetch_handlers *handlers)
+static void
+finish(struct plug_fetch_slot *slot, const struct plug_fetch_answer *answer)
 {
-	struct plug_fetch_slot *slot = calloc(1, sizeof(*slot));
-	CURL *easy;
+	slot->request = NULL;
+	(void)evtimer_del(slot->timer);
+	/* The handler may destroy the slot. */
+	slot->handlers.done(slot->handlers.data, answer);
+}
 
-	if (slot == NULL)
-		return NULL;
-	slot->fetch = fetch;
-	slot->handlers = *handlers;
-	slot->sock = -1;
-	easy = slot->easy = curl_easy_init();
-	if (easy == NULL) {
-		free(slot);
-		return NULL;
+static void
+hand_on_headers(
+    const struct plug_fetch_slot *slot, struct evhttp_request *request)
+{
+	const struct evkeyvalq *headers =
+	    evhttp_request_get_input_headers(request);
+	const struct evkeyval *header;
+	char line[LINE_SIZE];
+
+	if (slot->handlers.header == NULL)
+		return;
+	for (header = headers->tqh_first; header != NULL;
+	     header = header->next.tqe_next) {
+		int len = snprintf(
+		    line, sizeof(line), "%s: %s", header->key, header->value);
+
+		if (len > 0 && (size_t)len < sizeof(line))
+			slot->handlers.header(slot->handlers.data,
+			    (struct plug_str){ line, (size_t)len });
 	}
-	(void)curl_easy_setopt(easy, CURLOPT_PRIVATE, slot);
-	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-	(void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, slot);
-	(void)curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-	(void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, slot);
-	(void)curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_options);
-	(void)curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
-	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
-	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
-	(void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	(void)curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	(void)curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-	return slot;
 }
 
-/**
- * plug_fetch_slot_destroy() - end a slot and its GET
- * @slot: slot, or NULL; not from within its header handler
- */
-void
-plug_fetch_slot_destroy(struct plug_fetch_slot *slot)
+/* A server may close a kept connection while a GET is on its way: the GET was
+ * not answered in any part, and is sent again, once, on a new one. */
+static bool
+try_again(struct plug_fetch_slot *slot)
 {
-	if (slot == NULL)
+	return slot->reused && !slot->starting &&
+	       (slot->error == EVREQ_HTTP_EOF ||
+		   slot->error == EVREQ_HTTP_BUFFER_ERROR) &&
+	       send_request(slot);
+}
+
+static void
+on_error(enum evhttp_request_error error, void *data)
+{
+	struct plug_fetch_slot *slot = data;
+
+	slot->error = (int)error;
+}
+
+static const char *
+error_text(int error)
+{
+	static const char *const names[] = {
+		[EVREQ_HTTP_TIMEOUT] = "timeout",
+		[EVREQ_HTTP_EOF] = "the connection has ended",
+		[EVREQ_HTTP_INVALID_HEADER] = "invalid header",
+		[EVREQ_HTTP_BUFFER_ERROR] = "input or output failed",
+		[EVREQ_HTTP_REQUEST_CANCEL] = "canceled",
+		[EVREQ_HTTP_DATA_TOO_LONG] = "the answer is too long",
+	};
+
+	if (error == ERROR_CONNECT)
+		return "the connection can't be opened";
+	return error >= 0 && (size_t)error < sizeof(names) / sizeof(names[0])
+		   ? names[error]
+		   : "unknown error";
+}
+
+static void
+on_complete(struct evhttp_request *request, void *data)
+{
+	struct plug_fetch_slot *slot = data;
+	struct plug_fetch_answer answer = { 0 };
+	struct evbuffer *body;
+
+	if (request == NULL || evhttp_request_get_response_code(request) == 0) {
+		slot->connected = false;
+		slot->request = NULL;
+		if (slot->starting || try_again(slot))
+			return;
+		answer.refused = slot->error == ERROR_CONNECT;
+		answer.reason = error_text(slot->error);
+		finish(slot, &answer);
 		return;
-	plug_fetch_cancel(slot);
-	curl_easy_cleanup(slot->easy);
-	free(slot->body);
-	free(slot);
+	}
+	slot->connected = socket_of(slot) >= 0;
+	hand_on_headers(slot, request);
+	body = evhttp_request_get_input_buffer(request);
+	answer.status = evhttp_request_get_response_code(request);
+	answer.body.len = evbuffer_get_length(body);
+	answer.body.data = (const char *)evbuffer_pullup(body, -1);
+	answer.reason = "complete";
+	finish(slot, &answer);
+}
+
+static void
+on_close(struct evhttp_connection *connection, void *data)
+{
+	struct plug_fetch_slot *slot = data;
+
+	(void)connection;
+	slot->connected = false;
+}
+
+static bool
+open_connection(struct plug_fetch_slot *slot)
+{
+	slot->connection = evhttp_connection_base_new(
+	    plug_loop_base(slot->loop), NULL, slot->host, slot->port);
+	if (slot->connection == NULL)
+		return false;
+	evhttp_connection_set_closecb(slot->connection, on_close, slot);
+	evhttp_connection_set_max_headers_size(slot->connection, HEADERS_MAX);
+	evhttp_connection_set_max_body_size(
+	    slot->connection, (ev_ssize_t)slot->handlers.body_max);
+	return true;
+}
+
+/* Return: false when libevent failed. */
+static bool
+send_request(struct plug_fetch_slot *slot)
+{
+	struct evhttp_request *request;
+	char host[INET_ADDRSTRLEN + 8];
+
+	slot->reused = slot->connected;
+	slot->error = ERROR_CONNECT;
+	if (slot->connection == NULL && !open_connection(slot))
+		return false;
+	request = evhttp_request_new(on_complete, slot);
+	if (request == NULL)
+		return false;
+	evhttp_request_set_error_cb(request, on_error);
+	(void)snprintf(host, sizeof(host), "%s:%u", slot->host, slot->port);
+	(void)evhttp_add_header(
+	    evhttp_request_get_output_headers(request), "Host", host);
+	slot->request = request;
+	slot->starting = true;
+	if (evhttp_make_request(
+		slot->connection, request, EVHTTP_REQ_GET, slot->path) != 0)
+		slot->request = NULL;
+	slot->starting = false;
+	if (slot->request != NULL && !slot->reused)
+		set_options(socket_of(slot));
+	return slot->request != NULL;
+}
+
+/* Return: false for a URL that names no address and path. */
+static bool
+set_target(struct plug_fetch_slot *slot, const char *url)
+{
+	struct evhttp_uri *uri = evhttp_uri_parse(url);
+	const char *host = uri == NULL ? NULL : evhttp_uri_get_host(uri);
+	int port = uri == NULL ? -1 : evhttp_uri_get_port(uri);
+	const char *query;
+	bool valid = host != NULL && strlen(host) < sizeof(slot->host) &&
+		     port > 0 && port <= UINT16_MAX;
+
+	if (valid && (strcmp(host, slot->host) != 0 || port != slot->port)) {
+		close_connection(slot);
+		(void)memcpy(slot->host, host, strlen(host) + 1);
+		slot->port = (uint16_t)port;
+	}
+	if (valid) {
+		query = evhttp_uri_get_query(uri);
+		(void)snprintf(slot->path, sizeof(slot->path), "%s%s%s",
+		    evhttp_uri_get_path(uri), query == NULL ? "" : "?",
+		    query == NULL ? "" : query);
+	}
+	if (uri != NULL)
+		evhttp_uri_free(uri);
+	return valid;
 }
 
 /**
  * plug_fetch_start() - start a GET
  * @slot: slot that isn't busy
- * @url: URL
+ * @url: URL with a numeric address and a port
  * @timeout_ms: milliseconds until it fails
  *
- * Return: false when libcurl failed.
+ * Return: false when the URL is wrong or libevent failed.
  */
 bool
 plug_fetch_start(struct plug_fetch_slot *slot, const char *url, long timeout_ms)
 {
-	slot->len = 0;
-	slot->sock = -1;
-	(void)curl_easy_setopt(slot->easy, CURLOPT_URL, url);
-	(void)curl_easy_setopt(slot->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-	slot->busy =
-	    curl_multi_add_handle(slot->fetch->multi, slot->easy) == CURLM_OK;
-	return slot->busy;
+	long first = timeout_ms < CONNECT_MS ? timeout_ms : CONNECT_MS;
+
+	if (!set_target(slot, url) || !send_request(slot))
+		return false;
+	slot->left_ms = timeout_ms - first;
+	arm_timer(slot, first);
+	return true;
+}
+
+static bool
+is_connected(const struct plug_fetch_slot *slot)
+{
+	struct sockaddr_in peer;
+	socklen_t len = sizeof(peer);
+	int fd = socket_of(slot);
+
+	return fd >= 0 && getpeername(fd, (struct sockaddr *)&peer, &len) == 0;
+}
+
+/* The first expiry ends a GET whose connection isn't open yet, the second one
+ * any. */
+static void
+on_timer(int fd, short what, void *data)
+{
+	struct plug_fetch_slot *slot = data;
+	struct plug_fetch_answer answer = { .reason = "timeout" };
+	long left = slot->left_ms;
+
+	(void)fd;
+	(void)what;
+	slot->left_ms = 0;
+	if (left > 0 && is_connected(slot)) {
+		arm_timer(slot, left);
+		return;
+	}
+	plug_fetch_cancel(slot);
+	finish(slot, &answer);
 }
 
 /**
@@ -204,10 +381,12 @@
 void
 plug_fetch_cancel(struct plug_fetch_slot *slot)
 {
-	if (!slot->busy)
+	if (slot->request == NULL)
 		return;
-	(void)curl_multi_remove_handle(slot->fetch->multi, slot->easy);
-	slot->busy = false;
+	evhttp_cancel_request(slot->request);
+	slot->request = NULL;
+	slot->connected = false;
+	(void)evtimer_del(slot->timer);
 }
 
 /**
@@ -217,128 +396,17 @@
 bool
 plug_fetch_busy(const struct plug_fetch_slot *slot)
 {
-	return slot->busy;
+	return slot->request != NULL;
 }
 
 /**
  * plug_fetch_closed() - whether the peer has closed the kept connection
- * @slot: slot that isn't busy, the only one of its object
+ * @slot: slot that isn't busy
  *
  * Return: true also when there is no connection.
  */
 bool
 plug_fetch_closed(const struct plug_fetch_slot *slot)
 {
-	char byte;
-	ssize_t n;
-
-	if (slot->sock < 0)
-		return true;
-	n = recv(slot->sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
-/**
- * plug_fetch_socket() - socket of the kept connection
- * @slot: slot
- *
- * Return: descriptor to wait for, or -1.
- */
-int
-plug_fetch_socket(const struct plug_fetch_slot *slot)
-{
-	return slot->sock;
-}
-
-/**
- * plug_fetch_fds() - descriptors to wait for
- * @fetch: object
- * @fds: receives descriptors and events
- * @max: room in @fds
- *
- * Return: descriptors stored. libcurl reports those below FD_SETSIZE.
- */
-unsigned int
-plug_fetch_fds(struct plug_fetch *fetch, struct pollfd *fds, unsigned int max)
-{
-	fd_set in, out, error;
-	int top = -1;
-
-	FD_ZERO(&in);
-	FD_ZERO(&out);
-	FD_ZERO(&error);
-	(void)curl_multi_fdset(fetch->multi, &in, &out, &error, &top);
-	return plug_pollset_from(&in, &out, top, fds, max);
-}
-
-/**
- * plug_fetch_timeout() - longest wait before plug_fetch_perform()
- * @fetch: object
- * @max_ms: longest wait of the caller in milliseconds
- *
- * Return: milliseconds.
- */
-int
-plug_fetch_timeout(struct plug_fetch *fetch, int max_ms)
-{
-	long wait = -1;
-
-	(void)curl_multi_timeout(fetch->multi, &wait);
-	return wait >= 0 && wait < max_ms ? (int)wait : max_ms;
-}
-
-static void
-finish(struct plug_fetch_slot *slot, CURLcode result)
-{
-	uint8_t *body = slot->body;
-	struct plug_fetch_answer answer = {
-		.body = { (const char *)body, slot->len },
-		.reason = curl_easy_strerror(result),
-	};
-	curl_socket_t sock = CURL_SOCKET_BAD;
-	long error = 0;
-
-	if (result == CURLE_OK) {
-		if (curl_easy_getinfo(
-			slot->easy, CURLINFO_ACTIVESOCKET, &sock) == CURLE_OK &&
-		    sock != CURL_SOCKET_BAD)
-			slot->sock = sock;
-		(void)curl_easy_getinfo(
-		    slot->easy, CURLINFO_RESPONSE_CODE, &answer.status);
-	} else {
-		(void)curl_easy_getinfo(slot->easy, CURLINFO_OS_ERRNO, &error);
-		answer.refused =
-		    result == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
-	}
-	(void)curl_multi_remove_handle(slot->fetch->multi, slot->easy);
-	slot->busy = false;
-	/* The handler may destroy the slot. */
-	slot->body = NULL;
-	slot->capacity = 0;
-	slot->handlers.done(slot->handlers.data, &answer);
-	free(body);
-}
-
-/**
- * plug_fetch_perform() - go on with the GETs; never blocks
- * @fetch: object
- */
-void
-plug_fetch_perform(struct plug_fetch *fetch)
-{
-	int running, queued;
-	CURLMsg *message;
-
-	(void)curl_multi_perform(fetch->multi, &running);
-	while (
-	    (message = curl_multi_info_read(fetch->multi, &queued)) != NULL) {
-		struct plug_fetch_slot *slot = NULL;
-		CURLcode result = message->data.result;
-
-		if (message->msg != CURLMSG_DONE)
-			continue;
-		(void)curl_easy_getinfo(
-		    message->easy_handle, CURLINFO_PRIVATE, &slot);
-		finish(slot, result);
-	}
+	return !slot->connected;
 }
--- a/net/hostprobe.c
+++ b/net/hostprobe.c
@@ -86,7 +86,7 @@
  * @probe: probe to fill
  * @adapter: how the host speaks
  * @host: its address
- * @fetch: GETs of the calling thread
+ * @loop: loop of the calling thread
  * @client: log handler; kept by the caller
  * @report: receives each change
  * @data: first argument of @report
@@ -96,7 +96,7 @@
 bool
 plug_hostprobe_init(struct plug_hostprobe *probe,
     const struct plug_adapter *adapter, struct plug_endpoint host,
-    struct plug_fetch *fetch, const struct plug_client *client,
+    struct plug_loop *loop, const struct plug_client *client,
     void (*report)(void *data, const struct plug_host_report *report),
     void *data)
 {
@@ -115,7 +115,7 @@
 		.data = data,
 	};
 	plug_hostprobe_path(probe, adapter->health_path);
-	probe->slot = plug_fetch_slot_create(fetch, &handlers);
+	probe->slot = plug_fetch_slot_create(loop, &handlers);
 	return probe->slot != NULL;
 }
 
@@ -141,20 +141,6 @@
 	    plug_str_from(path), probe->path, sizeof(probe->path));
 }
 
-/**
- * plug_hostprobe_socket() - connection that ends with the host
- * @probe: probe
- *
- * Return: descriptor to wait for between checks, or -1.
- */
-int
-plug_hostprobe_socket(const struct plug_hostprobe *probe)
-{
-	return plug_fetch_busy(probe->slot) || probe->last.draining
-		   ? -1
-		   : plug_fetch_socket(probe->slot);
-}
-
 /**
  * plug_hostprobe_step() - check when it is time, or the connection has ended
  * @probe: probe
--- a/net/hostprobe.h
+++ b/net/hostprobe.h
@@ -49,12 +49,11 @@
 
 bool plug_hostprobe_init(struct plug_hostprobe *probe,
     const struct plug_adapter *adapter, struct plug_endpoint host,
-    struct plug_fetch *fetch, const struct plug_client *client,
+    struct plug_loop *loop, const struct plug_client *client,
     void (*report)(void *data, const struct plug_host_report *report),
     void *data);
 void plug_hostprobe_finish(struct plug_hostprobe *probe);
 void plug_hostprobe_path(struct plug_hostprobe *probe, const char *path);
-int plug_hostprobe_socket(const struct plug_hostprobe *probe);
 plug_time plug_hostprobe_step(struct plug_hostprobe *probe, plug_time now);
 
 #endif
--- a/net/platform.c
+++ b/net/platform.c
@@ -16,8 +16,6 @@
 #define BACKOFF_MAX_MS	2000   /* below the 7 s of a change, with retries */
 #define SPACING_MS	50     /* between two queries for one key */
 #define EARLY_ANSWER_MS 1000   /* an unchanged answer this early is a fault */
-#define POLL_MAX_MS	100    /* longest wait of the loop */
-#define POLL_FDS_MAX	256    /* descriptors */
 #define INDEX_HEADER	"X-Consul-Index:"
 
 /**
@@ -49,7 +47,7 @@
 };
 
 struct plug_platform {
-	struct plug_fetch *fetch;
+	struct plug_loop *loop;
 	struct plug_platform_handlers handlers;
 	unsigned int replica_count;
 	struct plug_endpoint replicas[PLUG_PLATFORM_REPLICAS];
@@ -74,7 +72,7 @@
  * @seed: seed of the jitter
  * @handlers: copied
  *
- * Return: the reader, or NULL when memory ran out or libcurl failed.
+ * Return: the reader, or NULL when memory ran out or libevent failed.
  */
 struct plug_platform *
 plug_platform_create(const struct plug_endpoint *replicas,
@@ -87,8 +85,8 @@
 		free(platform);
 		return NULL;
 	}
-	platform->fetch = plug_fetch_create();
-	if (platform->fetch == NULL) {
+	platform->loop = plug_loop_create();
+	if (platform->loop == NULL) {
 		free(platform);
 		return NULL;
 	}
@@ -119,7 +117,7 @@
 		return;
 	for (unsigned int i = 0; i < platform->watch_count; i++)
 		free_watch(platform->watches[i]);
-	plug_fetch_destroy(platform->fetch);
+	plug_loop_destroy(platform->loop);
 	free(platform);
 }
 
@@ -155,7 +153,7 @@
 
 	if (watch == NULL)
 		return NULL;
-	watch->slot = plug_fetch_slot_create(platform->fetch, &handlers);
+	watch->slot = plug_fetch_slot_create(platform->loop, &handlers);
 	if (watch->slot == NULL) {
 		free(watch);
 		return NULL;
@@ -317,74 +315,33 @@
 	    handlers->data, plug_str_from(key), version, answer->body);
 }
 
-/**
- * plug_platform_fds() - descriptors to wait for
- * @platform: reader
- * @fds: receives descriptors and events
- * @max: room in @fds
- *
- * Return: descriptors stored. libcurl reports those below FD_SETSIZE.
- */
-unsigned int
-plug_platform_fds(
-    struct plug_platform *platform, struct pollfd *fds, unsigned int max)
-{
-	return plug_fetch_fds(platform->fetch, fds, max);
-}
-
-/**
- * plug_platform_timeout() - longest wait before plug_platform_perform()
- * @platform: reader
- *
- * Return: milliseconds, at most 100.
- */
-int
-plug_platform_timeout(struct plug_platform *platform)
-{
-	int64_t now = now_ms();
-	int64_t wait = plug_fetch_timeout(platform->fetch, POLL_MAX_MS);
-
-	for (unsigned int i = 0; i < platform->watch_count; i++) {
-		const struct watch *watch = platform->watches[i];
-
-		if (!plug_fetch_busy(watch->slot) && watch->due - now < wait)
-			wait = watch->due - now;
-	}
-	return wait < 0 ? 0 : (int)wait;
-}
-
-/**
- * plug_platform_perform() - start due queries and hand on finished ones
- * @platform: reader
- *
- * Never blocks.
- */
-void
-plug_platform_perform(struct plug_platform *platform)
+static int64_t
+start_due_queries(struct plug_platform *platform, int64_t wait)
 {
 	int64_t now = now_ms();
 
 	for (unsigned int i = 0; i < platform->watch_count; i++) {
 		struct watch *watch = platform->watches[i];
 
-		if (!plug_fetch_busy(watch->slot) && watch->due <= now)
+		if (plug_fetch_busy(watch->slot))
+			continue;
+		if (watch->due <= now)
 			start_query(watch, now);
+		else if (watch->due - now < wait)
+			wait = watch->due - now;
 	}
-	plug_fetch_perform(platform->fetch);
+	return wait;
 }
 
 /**
- * plug_platform_poll() - wait for the service, then perform
+ * plug_platform_poll() - start due queries and hand on finished ones
  * @platform: reader
  * @timeout_ms: longest wait in milliseconds
  */
 void
 plug_platform_poll(struct plug_platform *platform, int timeout_ms)
 {
-	struct pollfd fds[POLL_FDS_MAX];
-	unsigned int count = plug_platform_fds(platform, fds, POLL_FDS_MAX);
-	int wait = plug_platform_timeout(platform);
+	int64_t wait = start_due_queries(platform, timeout_ms);
 
-	(void)poll(fds, count, wait < timeout_ms ? wait : timeout_ms);
-	plug_platform_perform(platform);
+	plug_loop_wait(platform->loop, wait * PLUG_MSEC);
 }
--- a/net/platform.h
+++ b/net/platform.h
@@ -1,8 +1,6 @@
 #ifndef PLUG_PLATFORM_H
 #define PLUG_PLATFORM_H
 
-#include <poll.h>
-
 #include "../libplantainlug/packet.h"
 
 #define PLUG_PLATFORM_REPLICAS 4 /* replicas of the configuration service */
@@ -14,8 +12,7 @@
  *           @reason is for the log
  * @data: first argument of both
  *
- * Both are called from plug_platform_perform() and plug_platform_poll(), and
- * may start and stop watches.
+ * Both are called from plug_platform_poll(), and may start and stop watches.
  */
 struct plug_platform_handlers {
 	void (*value)(void *data, struct plug_str key, uint64_t version,
@@ -26,12 +23,7 @@
 
 struct plug_platform;
 
-/*
- * Reader of the configuration service, for one thread. The thread's loop
- * adds the descriptors of plug_platform_fds() to its poll(2) set, waits at
- * most plug_platform_timeout(), and then calls plug_platform_perform(), which
- * never blocks. A program without a loop calls plug_platform_poll() instead.
- */
+/* Reader of the configuration service, for one thread. */
 struct plug_platform *plug_platform_create(const struct plug_endpoint *replicas,
     unsigned int replica_count, uint64_t seed,
     const struct plug_platform_handlers *handlers);
@@ -39,10 +31,6 @@
 enum plug_code plug_platform_watch(
     struct plug_platform *platform, struct plug_str key, uint64_t index);
 void plug_platform_unwatch(struct plug_platform *platform, struct plug_str key);
-unsigned int plug_platform_fds(
-    struct plug_platform *platform, struct pollfd *fds, unsigned int max);
-int plug_platform_timeout(struct plug_platform *platform);
-void plug_platform_perform(struct plug_platform *platform);
 void plug_platform_poll(struct plug_platform *platform, int timeout_ms);
 
 #endif
--- a/net/statuspage.c
+++ b/net/statuspage.c
@@ -1,65 +1,88 @@
 #include <arpa/inet.h>
-#include <microhttpd.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/listener.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "pollset.h"
 #include "statuspage.h"
 
-#define CONNECTIONS_MAX 32U /* routers keep a few each */
-#define IDLE_TIMEOUT_S	30U /* of a kept connection */
+#define BACKLOG	       16 /* connections that are not accepted yet */
+#define IDLE_TIMEOUT_S 30 /* of a kept connection */
 
 struct plug_statuspage {
-	struct MHD_Daemon *daemon;
+	struct evhttp *http;
 	const char *ready_path;
 	struct plug_statuspage_handlers handlers;
 	char metrics[PLUG_METRICS_SIZE];
 };
 
-static enum MHD_Result
-answer(struct MHD_Connection *connection, unsigned int code, const char *body,
-    size_t len)
+static void
+answer(struct evhttp_request *request, int code, const char *reason)
 {
-	struct MHD_Response *response = MHD_create_response_from_buffer(
-	    len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
-	enum MHD_Result result;
+	evhttp_send_reply(request, code, reason, NULL);
+}
+
+static void
+answer_metrics(struct plug_statuspage *page, struct evhttp_request *request)
+{
+	size_t len = page->handlers.metrics(
+	    page->handlers.data, page->metrics, sizeof(page->metrics));
 
-	if (response == NULL)
-		return MHD_NO;
-	result = MHD_queue_response(connection, code, response);
-	MHD_destroy_response(response);
-	return result;
+	(void)evhttp_add_header(evhttp_request_get_output_headers(request),
+	    "Content-Type", "text/plain");
+	if (evbuffer_add(evhttp_request_get_output_buffer(request),
+		page->metrics, len) != 0)
+		answer(request, HTTP_INTERNAL, "Out of memory");
+	else
+		answer(request, HTTP_OK, "OK");
 }
 
-static enum MHD_Result
-on_request(void *data, struct MHD_Connection *connection, const char *url,
-    const char *method, const char *version, const char *upload,
-    size_t *upload_len, void **state)
+static void
+on_request(struct evhttp_request *request, void *data)
 {
 	struct plug_statuspage *page = data;
-	const struct plug_statuspage_handlers *handlers = &page->handlers;
+	const char *path =
+	    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
 
-	(void)version;
-	(void)upload;
-	(void)upload_len;
-	(void)state;
-	if (strcmp(method, MHD_HTTP_METHOD_GET) != 0)
-		return answer(connection, MHD_HTTP_METHOD_NOT_ALLOWED, NULL, 0);
-	if (strcmp(url, page->ready_path) == 0)
-		return answer(connection,
-		    handlers->ready(handlers->data)
-			? MHD_HTTP_OK
-			: MHD_HTTP_SERVICE_UNAVAILABLE,
-		    NULL, 0);
-	if (strcmp(url, PLUG_METRICS_PATH) == 0)
-		return answer(connection, MHD_HTTP_OK, page->metrics,
-		    handlers->metrics(
-			handlers->data, page->metrics, sizeof(page->metrics)));
-	return answer(connection, MHD_HTTP_NOT_FOUND, NULL, 0);
+	if (path != NULL && strcmp(path, page->ready_path) == 0) {
+		if (page->handlers.ready(page->handlers.data))
+			answer(request, HTTP_OK, "OK");
+		else
+			answer(request, HTTP_SERVUNAVAIL, "Not ready");
+	} else if (path != NULL && strcmp(path, PLUG_METRICS_PATH) == 0) {
+		answer_metrics(page, request);
+	} else {
+		answer(request, HTTP_NOTFOUND, "Not found");
+	}
+}
+
+static bool
+listen_on(struct plug_statuspage *page, struct event_base *base,
+    struct plug_endpoint listen)
+{
+	const struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(listen.port),
+		.sin_addr.s_addr = htonl(listen.address),
+	};
+	struct evconnlistener *listener = evconnlistener_new_bind(base, NULL,
+	    NULL,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+	    BACKLOG, (const struct sockaddr *)&address, sizeof(address));
+
+	if (listener == NULL)
+		return false;
+	if (evhttp_bind_listener(page->http, listener) != NULL)
+		return true;
+	evconnlistener_free(listener);
+	return false;
 }
 
 /**
  * plug_statuspage_create() - listen for requests
+ * @loop: loop of the calling thread
  * @listen: TCP address
  * @ready_path: path of the readiness check
  * @handlers: what the pages show; copied
@@ -68,32 +91,29 @@
  * Return: pages for plug_statuspage_destroy(), or NULL.
  */
 struct plug_statuspage *
-plug_statuspage_create(struct plug_endpoint listen, const char *ready_path,
-    const struct plug_statuspage_handlers *handlers, struct plug_status *status)
+plug_statuspage_create(struct plug_loop *loop, struct plug_endpoint listen,
+    const char *ready_path, const struct plug_statuspage_handlers *handlers,
+    struct plug_status *status)
 {
 	struct plug_statuspage *page = calloc(1, sizeof(*page));
-	const struct sockaddr_in address = {
-		.sin_family = AF_INET,
-		.sin_port = htons(listen.port),
-		.sin_addr.s_addr = htonl(listen.address),
-	};
 
-	if (page == NULL) {
+	if (page != NULL)
+		page->http = evhttp_new(plug_loop_base(loop));
+	if (page == NULL || page->http == NULL) {
 		(void)plug_status_set(status, PLUG_E_MEMORY, "out of memory");
+		free(page);
 		return NULL;
 	}
 	page->ready_path = ready_path;
 	page->handlers = *handlers;
-	page->daemon = MHD_start_daemon(MHD_NO_FLAG, listen.port, NULL, NULL,
-	    on_request, page, MHD_OPTION_SOCK_ADDR, &address,
-	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
-	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-	if (page->daemon == NULL) {
+	evhttp_set_allowed_methods(page->http, EVHTTP_REQ_GET);
+	evhttp_set_timeout(page->http, IDLE_TIMEOUT_S);
+	evhttp_set_gencb(page->http, on_request, page);
+	if (!listen_on(page, plug_loop_base(loop), listen)) {
 		(void)plug_status_set(status, PLUG_E_IO,
 		    "can't listen for the readiness check on port %u",
 		    listen.port);
-		free(page);
+		plug_statuspage_destroy(page);
 		return NULL;
 	}
 	return page;
@@ -108,38 +128,6 @@
 {
 	if (page == NULL)
 		return;
-	MHD_stop_daemon(page->daemon);
+	evhttp_free(page->http);
 	free(page);
 }
-
-/**
- * plug_statuspage_fds() - descriptors to wait for
- * @page: pages
- * @fds: receives descriptors and events
- * @max: room in @fds
- *
- * Return: descriptors stored.
- */
-unsigned int
-plug_statuspage_fds(
-    struct plug_statuspage *page, struct pollfd *fds, unsigned int max)
-{
-	fd_set in, out, error;
-	int top = -1;
-
-	FD_ZERO(&in);
-	FD_ZERO(&out);
-	FD_ZERO(&error);
-	(void)MHD_get_fdset(page->daemon, &in, &out, &error, &top);
-	return plug_pollset_from(&in, &out, top, fds, max);
-}
-
-/**
- * plug_statuspage_perform() - go on with the requests; never blocks
- * @page: pages
- */
-void
-plug_statuspage_perform(struct plug_statuspage *page)
-{
-	(void)MHD_run(page->daemon);
-}
--- a/net/statuspage.h
+++ b/net/statuspage.h
@@ -1,9 +1,7 @@
 #ifndef PLUG_STATUSPAGE_H
 #define PLUG_STATUSPAGE_H
 
-#include <poll.h>
-
-#include "libplantainlug/client.h"
+#include "loop.h"
 #include "libplantainlug/status.h"
 
 #define PLUG_METRICS_PATH "/metrics"
@@ -24,16 +22,13 @@
 struct plug_statuspage;
 
 /*
- * Readiness and metrics over HTTP, on libmicrohttpd without threads of its own.
- * The thread's loop adds plug_statuspage_fds() to its poll(2) set and calls
- * plug_statuspage_perform() when one of them is ready.
+ * Readiness and metrics over HTTP, on libevent. Requests are answered, and the
+ * handlers are called, in plug_loop_wait().
  */
-struct plug_statuspage *plug_statuspage_create(struct plug_endpoint listen,
+struct plug_statuspage *
+plug_statuspage_create(struct plug_loop *loop, struct plug_endpoint listen,
     const char *ready_path, const struct plug_statuspage_handlers *handlers,
     struct plug_status *status);
 void plug_statuspage_destroy(struct plug_statuspage *page);
-unsigned int plug_statuspage_fds(
-    struct plug_statuspage *page, struct pollfd *fds, unsigned int max);
-void plug_statuspage_perform(struct plug_statuspage *page);
 
 #endif
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -115,7 +115,7 @@
 
 static bool
 init_part(struct plug_storereader *reader, struct part *part,
-    struct plug_fetch *fetch, enum plug_store_read what,
+    struct plug_loop *loop, enum plug_store_read what,
     void (*done)(void *data, const struct plug_fetch_answer *answer))
 {
 	const struct plug_fetch_handlers handlers = {
@@ -126,7 +126,7 @@
 
 	part->reader = reader;
 	part->query.what = what;
-	part->slot = plug_fetch_slot_create(fetch, &handlers);
+	part->slot = plug_fetch_slot_create(loop, &handlers);
 	return part->slot != NULL;
 }
 
@@ -134,7 +134,7 @@
  * plug_storereader_create() - start reading the platform's store
  * @adapter: how it speaks
  * @store: its address
- * @fetch: GETs of the calling thread
+ * @loop: loop of the calling thread
  * @client: log handler and random state; kept by the caller
  * @handlers: results; copied
  *
@@ -142,7 +142,7 @@
  */
 struct plug_storereader *
 plug_storereader_create(const struct plug_adapter *adapter,
-    struct plug_endpoint store, struct plug_fetch *fetch,
+    struct plug_endpoint store, struct plug_loop *loop,
     const struct plug_client *client,
     const struct plug_storereader_handlers *handlers)
 {
@@ -154,10 +154,10 @@
 	reader->store = store;
 	reader->client = client;
 	reader->handlers = *handlers;
-	if (!init_part(reader, &reader->operators, fetch, PLUG_STORE_OPERATORS,
+	if (!init_part(reader, &reader->operators, loop, PLUG_STORE_OPERATORS,
 		on_operators) ||
 	    !init_part(
-		reader, &reader->hosts, fetch, PLUG_STORE_HOSTS, on_hosts)) {
+		reader, &reader->hosts, loop, PLUG_STORE_HOSTS, on_hosts)) {
 		plug_storereader_destroy(reader);
 		return NULL;
 	}
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -1,4 +1,3 @@
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,13 +7,13 @@
 #include "clock.h"
 #include "control.h"
 #include "file.h"
+#include "loop.h"
 #include "statuspage.h"
 #include "stop.h"
 #include "storereader.h"
 #include "trackd.h"
 #include "tracktraffic.h"
 
-#define FDS_MAX		64
 #define SETTINGS_PERIOD (2 * PLUG_SEC) /* between looks at the file */
 
 /* Routers check readiness twice a second and take a node out after two misses;
@@ -28,8 +27,7 @@
  * @adapter: how the platform speaks
  * @log: log
  * @client: log handler and random state
- * @fetch: GETs from the store
- * @host_fetch: GETs from the host, whose connection tells when it ends
+ * @loop: event loop of the thread
  * @reader: reader of the store
  * @probe: checks of an agent's host
  * @page: readiness and metrics
@@ -48,8 +46,7 @@
 	const struct plug_adapter *adapter;
 	struct plug_log *log;
 	struct plug_client client;
-	struct plug_fetch *fetch;
-	struct plug_fetch *host_fetch;
+	struct plug_loop *loop;
 	struct plug_storereader *reader;
 	struct plug_hostprobe probe;
 	struct plug_statuspage *page;
@@ -207,26 +204,26 @@
 	};
 
 	trackd->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-	trackd->fetch = plug_fetch_create();
-	trackd->host_fetch = plug_fetch_create();
-	if (trackd->wake < 0 || trackd->fetch == NULL ||
-	    trackd->host_fetch == NULL) {
+	trackd->loop = plug_loop_create();
+	if (trackd->wake < 0 || trackd->loop == NULL ||
+	    !plug_loop_watch(trackd->loop, trackd->wake)) {
 		(void)plug_status_set(
-		    status, PLUG_E_LIBRARY, "libcurl can't be initialized");
+		    status, PLUG_E_LIBRARY, "libevent can't be initialized");
 		return false;
 	}
 	trackd->reader = plug_storereader_create(trackd->adapter,
-	    trackd->settings->store, trackd->fetch, &trackd->client, &results);
+	    trackd->settings->store, trackd->loop, &trackd->client, &results);
 	if (trackd->reader == NULL ||
 	    (is_agent(trackd) &&
 		!plug_hostprobe_init(&trackd->probe, trackd->adapter,
-		    trackd->settings->host, trackd->host_fetch, &trackd->client,
+		    trackd->settings->host, trackd->loop, &trackd->client,
 		    on_host, trackd))) {
 		(void)plug_status_set(status, PLUG_E_MEMORY, "out of memory");
 		return false;
 	}
-	trackd->page = plug_statuspage_create(trackd->settings->ready,
-	    trackd->adapter->ready_path, &pages, status);
+	trackd->page =
+	    plug_statuspage_create(trackd->loop, trackd->settings->ready,
+		trackd->adapter->ready_path, &pages, status);
 	return trackd->page != NULL;
 }
 
@@ -237,8 +234,7 @@
 	if (is_agent(trackd) && trackd->probe.slot != NULL)
 		plug_hostprobe_finish(&trackd->probe);
 	plug_storereader_destroy(trackd->reader);
-	plug_fetch_destroy(trackd->host_fetch);
-	plug_fetch_destroy(trackd->fetch);
+	plug_loop_destroy(trackd->loop);
 	if (trackd->wake >= 0)
 		(void)close(trackd->wake);
 	free(trackd->text);
@@ -288,36 +284,12 @@
 	return a < b ? a : b;
 }
 
-static unsigned int
-collect_fds(struct trackd *trackd, struct pollfd *fds)
-{
-	unsigned int count = 0;
-	int sock;
-
-	fds[count++] = (struct pollfd){ .fd = trackd->wake, .events = POLLIN };
-	if (is_agent(trackd)) {
-		sock = plug_hostprobe_socket(&trackd->probe);
-		if (sock >= 0)
-			fds[count++] =
-			    (struct pollfd){ .fd = sock, .events = POLLIN };
-	}
-	count += plug_fetch_fds(trackd->fetch, fds + count, FDS_MAX - count);
-	count +=
-	    plug_fetch_fds(trackd->host_fetch, fds + count, FDS_MAX - count);
-	count +=
-	    plug_statuspage_fds(trackd->page, fds + count, FDS_MAX - count);
-	return count;
-}
-
 static void
 step(struct trackd *trackd)
 {
-	struct pollfd fds[FDS_MAX];
 	plug_time now = plug_clock_now();
 	plug_time next;
-	unsigned int count;
 	eventfd_t value;
-	int wait;
 
 	if (plug_stop_reload_taken() || now >= trackd->next_look)
 		look_at_settings(trackd, now);
@@ -327,16 +299,10 @@
 		next = earlier(next, plug_hostprobe_step(&trackd->probe, now));
 	if (trackd->leaving)
 		next = earlier(next, trackd->leave_at);
-	count = collect_fds(trackd, fds);
-	wait = next <= now ? 0 : (int)((next - now) / PLUG_MSEC) + 1;
-	wait = plug_fetch_timeout(trackd->fetch, wait);
-	(void)poll(fds, count, plug_fetch_timeout(trackd->host_fetch, wait));
+	plug_loop_wait(trackd->loop, next - now);
 	(void)eventfd_read(trackd->wake, &value);
 	if (atomic_exchange(&trackd->traffic.refresh, false))
 		plug_storereader_refresh(trackd->reader);
-	plug_fetch_perform(trackd->fetch);
-	plug_fetch_perform(trackd->host_fetch);
-	plug_statuspage_perform(trackd->page);
 }
 
 /* Return: whether the process may end now. An entry goes on until the routers
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "cli/commands.h"
 #include "callerflow.h"
 #include "standin.h"
 #include "workload.h"
@@ -517,7 +516,7 @@
 }
 
 /**
- * plug_cli_standin_caller() - callers with long flows to one service
+ * plug_standin_caller_main() - callers with long flows to one service
  * @argc: number of arguments
  * @argv: arguments, the first one is the subcommand
  *
@@ -525,7 +524,7 @@
  * exit status, 0 also when requests failed.
  */
 int
-plug_cli_standin_caller(int argc, char **argv)
+plug_standin_caller_main(int argc, char **argv)
 {
 	const char *think_help = "mean time between requests of a flow, 250";
 	const char *size_help = "length of a download, 100000";
--- a/standins/configservice.c
+++ b/standins/configservice.c
@@ -468,7 +468,8 @@
 	service =
 	    plug_standin_config_start(dir, listen, first_version, &status);
 	if (service == NULL) {
-		(void)fprintf(stderr, "standin-config: %s\n", status.message);
+		(void)fprintf(
+		    stderr, "plantainlug-standin config: %s\n", status.message);
 		return 1;
 	}
 	(void)sigaction(SIGTERM, &action, NULL);
@@ -486,7 +487,7 @@
 }
 
 /**
- * plug_standin_config_main() - the subcommand standin-config
+ * plug_standin_config_main() - the subcommand config
  * @argc: arguments, with the name of the subcommand
  * @argv: --listen ip:port --dir DIR [--first-version N]
  *
@@ -512,10 +513,11 @@
 	result = PLUG_EXIT_USAGE;
 	if (plug_endpoint_parse_listen(plug_str_from(listen_text->sval[0]),
 		&listen, &status) != PLUG_OK)
-		(void)fprintf(stderr, "standin-config: %s\n", status.message);
-	else if (first->ival[0] < 1)
 		(void)fprintf(
-		    stderr, "standin-config: --first-version is below 1\n");
+		    stderr, "plantainlug-standin config: %s\n", status.message);
+	else if (first->ival[0] < 1)
+		(void)fprintf(stderr,
+		    "plantainlug-standin config: --first-version is below 1\n");
 	else
 		result = serve_until_signal(
 		    dir->sval[0], listen, (uint64_t)first->ival[0]);
--- a/standins/fabric.c
+++ b/standins/fabric.c
@@ -11,7 +11,6 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include "cli/commands.h"
 #include "net/datagram.h"
 #include "standin.h"
 
@@ -360,7 +359,7 @@
 }
 
 /**
- * plug_cli_standin_fabric() - fabric that sprays packets over the entries
+ * plug_standin_fabric_main() - fabric that sprays packets over the entries
  * @argc: number of arguments
  * @argv: arguments, the first one is the subcommand
  *
@@ -368,7 +367,7 @@
  * event=listening for the gateway. Return: exit status.
  */
 int
-plug_cli_standin_fabric(int argc, char **argv)
+plug_standin_fabric_main(int argc, char **argv)
 {
 	struct arg_str *services = arg_strn(NULL, "service", "IP:PORT", 1,
 	    SERVICES_MAX, "service address for callers; port 0 is ephemeral");
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -16,4 +16,9 @@
 struct plug_endpoint plug_standin_from_sockaddr(struct sockaddr_in in);
 int plug_standin_poll_wait(plug_time now, plug_time due, plug_time longest);
 
+/* Each gets its name as argv[0] and returns an exit code. */
+int plug_standin_fabric_main(int argc, char **argv);
+int plug_standin_upstream_main(int argc, char **argv);
+int plug_standin_caller_main(int argc, char **argv);
+
 #endif
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -12,7 +12,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "cli/commands.h"
 #include "libplantainlug/agent.h"
 #include "connection.h"
 #include "standin.h"
@@ -613,7 +612,7 @@
 }
 
 /**
- * plug_cli_standin_upstream() - server that runs the requests of one service
+ * plug_standin_upstream_main() - server that runs the requests of one service
  * @argc: number of arguments
  * @argv: arguments, the first one is the subcommand
  *
@@ -623,7 +622,7 @@
  * status.
  */
 int
-plug_cli_standin_upstream(int argc, char **argv)
+plug_standin_upstream_main(int argc, char **argv)
 {
 	const char *short_help =
 	    "service time of an answer that fits a packet, 10";
--- a/tests/process/deployment.sh
+++ b/tests/process/deployment.sh
@@ -28,7 +28,8 @@
 # Makes the directory of the run. Each run has a loopback address of its own,
 # so that a port that is used again can't have been taken by another run.
 deployment_init() { # name, program of the stand-ins, program under test
-	standin=$2
+	plain=$2
+	standin=$2-standin
 	product=$3
 	host=127.$((64 + ($$ >> 16 & 63))).$(($$ >> 8 & 255)).$(($$ & 255))
 	dir=$(mktemp -d -t "plantainlug-$1.XXXXXX") || exit 1
@@ -223,7 +224,7 @@
 }
 
 start_fabric() {
-	run "$standin" fabric standin-fabric --service "$host:0" \
+	run "$standin" fabric fabric --service "$host:0" \
 	    --service "$host:0" --listen "$host:0" \
 	    --entries "$dir/config/instances/entries" --seed 1 \
 	    "${FABRIC_OPTIONS[@]}"
@@ -234,7 +235,7 @@
 }
 
 start_config() { # options
-	run "$standin" config standin-config --listen "${config-$host:0}" \
+	run "$standin" config config --listen "${config-$host:0}" \
 	    --dir "${config_dir-$dir/config}" "$@"
 	config=$(listening config listening 1) ||
 	    fail "the configuration service does not listen"
@@ -249,7 +250,7 @@
 
 start_upstream() { # service, number: at its former address, if it had one
 	local name=upstream-$1-$2
-	run "$standin" "$name" standin-upstream \
+	run "$standin" "$name" upstream \
 	    --listen "${address_of[$name]-$host:0}" \
 	    --service-id "${id_of[$1]}" --slots "$SLOTS" \
 	    --cold-slots "$COLD_SLOTS" --cold-ms "${COLD_SECONDS}000" \
@@ -303,7 +304,7 @@
 	local name=$1 service=$2
 	shift 2
 	callers+=("caller-$name")
-	run "$standin" "caller-$name" standin-caller --name "$name" \
+	run "$standin" "caller-$name" caller --name "$name" \
 	    --service "${service_address[$service]}" \
 	    --service-id "${id_of[$service]}" \
 	    --record "$dir/records/caller-$name" "$@"
@@ -318,14 +319,14 @@
 }
 
 status_of() { # name, key: a line of the status of an entry or agent
-	"$standin" status "${address_of[$1]}" 2>/dev/null |
+	"$plain" status "${address_of[$1]}" 2>/dev/null |
 	    sed -n "s|^$2=||p"
 }
 
 sum_of() { # name, keys: sum of lines of the status
 	local name=$1
 	shift
-	"$standin" status "${address_of[$name]}" 2>/dev/null |
+	"$plain" status "${address_of[$name]}" 2>/dev/null |
 	    awk -F= -v keys="$*" '
 	BEGIN { count = split(keys, list, " ") }
 	{ value[$1] = $2 }
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -21,5 +21,6 @@
 Suite *explain_suite(void);
 Suite *track_suite(void);
 Suite *adapter_suite(void);
+Suite *fetch_suite(void);
 
 #endif
