Place a flow anew whose client uses its port again

Found by asking whether an answer can reach the next user of a connection. An agent handed such a SYN to its host even if the host was leaving, took a late segment of an ended flow for a new flow that stays open until it idles, and claimed the flow when an entry asked, so that the new flow could be taken to the old host and be reset there.

Ruled out: an answer in the wrong connection. Segments go to the client as the host sends them, and the client's sequence numbers tell them apart.

The table no longer counts as complete after a flow had to be dropped from it for lack of room.

reused_port_finds_another_host, reused_port_is_admitted_anew and late_answer_does_not_draw_a_flow fail without the change.

--- a/libplantainlug/track/agent_flows.c
+++ b/libplantainlug/track/agent_flows.c
@@ -11,8 +11,12 @@
 
 #define IDLE_SLACK (10 * PLUG_SEC) /* entries forget first */
 
-static bool
-is_closed(const struct plug_held_flow *flow)
+/**
+ * plug_held_closed() - both sides have closed the flow
+ * @flow: flow
+ */
+bool
+plug_held_closed(const struct plug_held_flow *flow)
 {
 	return flow->client_fin && flow->host_fin;
 }
@@ -29,7 +33,7 @@
 plug_held_count(
     struct plug_track_agent *agent, const struct plug_held_flow *flow, int sign)
 {
-	if (flow->state == PLUG_HELD_PROBED || is_closed(flow))
+	if (flow->state == PLUG_HELD_PROBED || plug_held_closed(flow))
 		return;
 	agent->open += (uint32_t)sign;
 	if (flow->working)
@@ -50,6 +54,14 @@
 	plug_conntable_remove(&agent->flows, &flow->conn);
 }
 
+/* The host may now have a flow that isn't in the table. */
+static void
+note_missing(struct plug_track_agent *agent, plug_time now)
+{
+	agent->whole = false;
+	agent->since = now;
+}
+
 /**
  * plug_held_add() - remember a flow
  * @agent: agent
@@ -66,12 +78,16 @@
 {
 	struct plug_held_flow *flow;
 
-	if (plug_conntable_full(&agent->flows))
+	if (plug_conntable_full(&agent->flows)) {
 		plug_held_remove(
 		    agent, (struct plug_held_flow *)agent->flows.oldest);
+		note_missing(agent, now);
+	}
 	flow = plug_conntable_add(&agent->flows, tuple, now);
-	if (flow == NULL)
+	if (flow == NULL) {
+		note_missing(agent, now);
 		return NULL;
+	}
 	flow->state = state;
 	flow->entry = entry;
 	plug_held_count(agent, flow, 1);
@@ -128,7 +144,7 @@
 {
 	switch (flow->state) {
 	case PLUG_HELD_OPEN:
-		if (is_closed(flow))
+		if (plug_held_closed(flow))
 			break;
 		agent->counters[PLUG_AGENT_RESETS]++;
 		plug_held_log(agent, PLUG_LOG_INFO, "flow_reset",
@@ -166,7 +182,7 @@
 {
 	if (flow->state == PLUG_HELD_PROBED)
 		return PROBE_TIME;
-	if (is_closed(flow))
+	if (plug_held_closed(flow))
 		return CLOSED_TIME;
 	return agent->idle_timeout + IDLE_SLACK;
 }
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -322,7 +322,8 @@
 	reported->active = now;
 	reported->due = true;
 	flow = plug_conntable_find(&agent->flows, &segment.tuple);
-	if (flow != NULL && flow->state != PLUG_HELD_PROBED) {
+	if (flow != NULL && flow->state != PLUG_HELD_PROBED &&
+	    !plug_held_closed(flow)) {
 		flow->entry = from;
 		plug_intake_hand_over(agent, now, &segment);
 		return;
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -26,6 +26,8 @@
     struct plug_track_agent *agent, plug_time now, struct plug_held_flow *flow);
 void plug_intake_step(struct plug_track_agent *agent, plug_time now);
 void plug_intake_refuse(struct plug_track_agent *agent, plug_time now);
+bool plug_held_closed(const struct plug_held_flow *flow);
+bool plug_holding_complete(const struct plug_track_agent *agent, plug_time now);
 void plug_intake_expire(struct plug_track_agent *agent, plug_time now);
 void plug_intake_refused(struct plug_track_agent *agent, uint32_t entry,
     uint64_t host, const struct plug_segment *segment,
--- a/libplantainlug/track/agent_lookup.c
+++ b/libplantainlug/track/agent_lookup.c
@@ -6,16 +6,29 @@
 
 #define IDLE_SLACK (10 * PLUG_SEC) /* entries forget first */
 
-/* Two hosts may have answered the same SYN. The client acknowledges the
- * sequence number of one of them; data makes no more difference than this. */
-#define HANDSHAKE_WINDOW 76800U
+/* Two hosts may have answered the same SYN, and a client may use its port for
+ * one flow after another. It acknowledges the sequence number of one host; data
+ * makes no more difference than this. */
+#define ACK_WINDOW 76800U
+
+/**
+ * plug_holding_complete() - all flows of the host are in the table
+ * @agent: agent
+ * @now: time
+ */
+bool
+plug_holding_complete(const struct plug_track_agent *agent, plug_time now)
+{
+	return agent->whole ||
+	       now - agent->since > agent->idle_timeout + IDLE_SLACK;
+}
 
 /* Whether a flow that isn't in the table can't be at the host. */
 static bool
 is_sure(const struct plug_track_agent *agent, plug_time now)
 {
-	return agent->state == PLUG_HOST_DOWN || agent->whole ||
-	       now - agent->since > agent->idle_timeout + IDLE_SLACK;
+	return agent->state == PLUG_HOST_DOWN ||
+	       plug_holding_complete(agent, now);
 }
 
 static void
@@ -105,9 +118,12 @@
 					   : PLUG__HOLDING__UNSURE;
 	switch (flow->state) {
 	case PLUG_HELD_OPEN:
+		if (plug_held_closed(flow) &&
+		    ack - flow->ack + ACK_WINDOW > 2 * ACK_WINDOW)
+			return PLUG__HOLDING__NO;
 		return PLUG__HOLDING__YES;
 	case PLUG_HELD_OPENING:
-		if (flow->answered && ack - flow->host_seq <= HANDSHAKE_WINDOW)
+		if (flow->answered && ack - flow->host_seq <= ACK_WINDOW)
 			return PLUG__HOLDING__YES;
 		return flow->answered ? PLUG__HOLDING__NO
 				      : PLUG__HOLDING__UNSURE;
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -289,13 +289,23 @@
 	send_open(entry, now, flow, host, route, segment);
 }
 
+/* Whether the client has closed the flow and uses its port for a new one. A
+ * copy of the old SYN may still come late. */
+static bool
+is_reused(
+    const struct plug_entry_flow *flow, const struct plug_segment *segment)
+{
+	return flow->closing && segment->seq != flow->opening_seq;
+}
+
 static void
 handle_opening(struct plug_track_entry *entry, plug_time now,
     struct plug_entry_flow *flow, const struct plug_segment *segment)
 {
 	const struct plug_route *route = route_of(entry, &segment->tuple);
 
-	if (flow != NULL && flow->state == PLUG_ENTRY_OPEN) {
+	if (flow != NULL && flow->state == PLUG_ENTRY_OPEN &&
+	    !is_reused(flow, segment)) {
 		plug_track_segment(
 		    entry->driver, PLUG_TRACK_TO_AGENT, flow->agent, segment);
 		return;
@@ -308,6 +318,7 @@
 		flow = add_flow(entry, now, segment);
 	if (flow == NULL)
 		return;
+	flow->opening_seq = segment->seq;
 	if (route == NULL) {
 		entry->counters[PLUG_ENTRY_NO_ROUTE]++;
 		end_flow(entry, now, flow, 0, "no_route");
--- a/libplantainlug/track/entry.h
+++ b/libplantainlug/track/entry.h
@@ -20,6 +20,7 @@
  * @conn: head; the first member
  * @state: see enum plug_entry_state
  * @closing: the client has sent a FIN or RST
+ * @opening_seq: sequence number of its SYN; 0 when another entry got it
  * @agent: address of the machine that has it, while OPENING and OPEN
  * @host: hash of its host's instance id; 0 when another entry opened it
  * @started: time of the first segment
@@ -32,6 +33,7 @@
 	struct plug_conn conn;
 	enum plug_entry_state state;
 	bool closing;
+	uint32_t opening_seq;
 	uint32_t agent;
 	uint64_t host;
 	plug_time started;
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -238,6 +238,68 @@
 }
 END_TEST
 
+/* Guards against a client that isn't served because it uses its port again:
+ * its SYN went to the host of the flow that it had closed. */
+START_TEST(reused_port_finds_another_host)
+{
+	unsigned int holder = open_flow();
+
+	world_close(&world, 0, 7);
+	world.agent_nodes[holder].cut = true;
+	world_run(&world, 2 * PLUG_SEC);
+	world_open(&world, 0, 7);
+	ck_assert_int_ne(world_holder(&world, 7), (int)holder);
+}
+END_TEST
+
+/* Guards against a new flow that passes the agent's admission because its
+ * client uses a port again: a leaving host got work. */
+START_TEST(reused_port_is_admitted_anew)
+{
+	unsigned int syns;
+
+	world_only(&world, 0);
+	world_open(&world, 0, 7);
+	world_close(&world, 0, 7);
+	syns = world.hosts[0].syns;
+	plug_track_agent_host(
+	    &world.agents[0], world.now, PLUG_HOST_UP, world.hosts[0].id, true);
+	world_syn(&world, 0, 7);
+	world_run(&world, SHORT);
+	ck_assert_uint_eq(world.hosts[0].syns, syns);
+}
+END_TEST
+
+/* Guards against a flow that is taken to another host because its client's
+ * port was in use there before, seconds ago or longer, and that host sends its
+ * last answer once more. */
+START_TEST(late_answer_does_not_draw_a_flow)
+{
+	for (unsigned int round = 0; round < 2; round++) {
+		unsigned int holder, open;
+
+		holder = open_flow();
+		world_close(&world, 0, 7);
+		world_run(&world, round * 10 * PLUG_SEC);
+		world.hosts[holder].takes_syn = false;
+		world_open(&world, 0, 7);
+		ck_assert_int_ne(world_holder(&world, 7), (int)holder);
+		open = world.agents[holder].open;
+		world_answer_again(&world, holder, 7);
+		world_run(&world, SHORT);
+		ck_assert_uint_eq(world.agents[holder].open, open);
+		world.clients[7].answers = 1;
+		world_restart_entry(&world, 0);
+		world_data(&world, 0, 7);
+		world_run(&world, SHORT);
+		ck_assert_uint_eq(world.hosts[holder].strange, 0);
+		ck_assert_uint_eq(world.clients[7].answers, 2);
+		world.hosts[holder].takes_syn = true;
+		world_close(&world, 0, 7);
+	}
+}
+END_TEST
+
 /* Guards against a request that is counted for ever because the client's copy
  * of it came when its answer was on the way: the host then seems full. */
 START_TEST(copy_of_a_request_is_no_request)
@@ -1107,6 +1169,9 @@
 	tcase_add_test(flows, leaving_host_may_work_for_long);
 	tcase_add_test(flows, copy_of_a_request_is_no_request);
 	tcase_add_test(flows, dead_host_beside_a_new_agent);
+	tcase_add_test(flows, reused_port_finds_another_host);
+	tcase_add_test(flows, reused_port_is_admitted_anew);
+	tcase_add_test(flows, late_answer_does_not_draw_a_flow);
 	tcase_add_test(flows, leaving_host_keeps_its_flows);
 	tcase_add_test(flows, returned_segment_ends_the_flow);
 	tcase_add_test(flows, opening_flow_whose_host_has_gone);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -33,6 +33,9 @@
 #define AGENT_ADDRESS 0x0a000100U
 #define STEP	      (PLUG_MSEC) /* between ticks */
 
+/* Between the sequence numbers of two connections of a client's port. */
+#define NEXT_CONNECTION 1000000U
+
 static bool
 decode(void *data, struct plug_str bytes, struct plug_segment *segment)
 {
@@ -397,6 +400,13 @@
 		post_segment(world, FROM_HOST, host, host, &back, 10);
 		return;
 	}
+	if ((header->flags & PLUG_SEGMENT_FIN) != 0) {
+		h->holds[port] = false;
+		h->answers[port] = false;
+		host_sends(world, host, port,
+		    PLUG_SEGMENT_FIN | PLUG_SEGMENT_ACK, 1, 0);
+		return;
+	}
 	if (header->len == 0)
 		return;
 	if (h->fails) {
@@ -594,6 +604,25 @@
 	ck_assert_uint_eq(world->clients[port].answers, 1);
 }
 
+/* Both sides close the flow. Its client may then use the port again. */
+void
+world_close(struct world *world, unsigned int entry, uint16_t port)
+{
+	world_fin(world, entry, port);
+	world_run(world, 10 * PLUG_MSEC);
+	ck_assert_int_eq(world_holder(world, port), -1);
+	world->clients[port] = (struct world_client){
+		.seq = world->clients[port].seq + NEXT_CONNECTION,
+	};
+}
+
+/* The host sends its last answer once more. */
+void
+world_answer_again(struct world *world, unsigned int host, uint16_t port)
+{
+	host_sends(world, host, port, PLUG_SEGMENT_ACK, 1, 600);
+}
+
 int
 world_holder(const struct world *world, uint16_t port)
 {
