Don't take the time of an own pause for a host's silence

A machine that is overcommitted runs neither the agent nor its host for a while. After such a pause an agent of the tracking mode found a leaving host dead at its first tick, before it read what the host had sent, and reset its flows; in the token mode the agent replaced the connection to its upstream after 3 s, and gave up the requests that ran there.

Ruled out: entries, which read the agents' reports before they place a flow, and lookups, which forget a flow without a reset when nobody answers.

Now the time between two ticks counts only up to what a running process needs: 50 ms where a host is watched for death, PLUG_TICK_GAP_MAX for the upstream's heartbeat. pause_is_no_silence (of both modes) and upstream_is_not_silent_after_a_pause fail without the change.

--- a/libplantainlug/agent_internal.h
+++ b/libplantainlug/agent_internal.h
@@ -22,6 +22,7 @@
  * @last_id: id of the newest call
  * @heartbeat_id: id of the outstanding null call; 0 when there is none
  * @heartbeat_sent: time of the newest null call
+ * @ticked: time of the last tick
  * @running: requests sent and not answered
  */
 struct plug_upstream {
@@ -31,6 +32,7 @@
 	uint64_t last_id;
 	uint64_t heartbeat_id;
 	plug_time heartbeat_sent;
+	plug_time ticked;
 	struct plug_request_list running;
 };
 
--- a/libplantainlug/agent_upstream.c
+++ b/libplantainlug/agent_upstream.c
@@ -356,6 +356,20 @@
 	return true;
 }
 
+/* The upstream may have been paused with the agent, and what it has sent since
+ * may not be read yet. Such a time is no silence. */
+static void
+skip_pause(struct plug_upstream *upstream, plug_time now)
+{
+	plug_time gap = now - upstream->ticked;
+
+	upstream->ticked = now;
+	if (gap <= PLUG_TICK_GAP_MAX)
+		return;
+	upstream->heard = now;
+	upstream->heartbeat_sent = now;
+}
+
 /**
  * plug_agent_upstream_tick() - heartbeat and deadlines of running requests
  * @agent: agent
@@ -367,6 +381,7 @@
 	struct plug_upstream *upstream = &agent->upstream;
 	struct plug_action action = { .kind = PLUG_ACTION_UPSTREAM_CALL };
 
+	skip_pause(upstream, now);
 	if (!upstream->connected)
 		return;
 	if (!check_overdue(agent, now)) {
--- a/libplantainlug/client.h
+++ b/libplantainlug/client.h
@@ -17,6 +17,10 @@
 #define PLUG_MSEC ((plug_time)1000)
 #define PLUG_SEC  ((plug_time)1000000)
 
+/* Between two ticks of a process that runs; after a longer time it was paused
+ * (design 4.6). */
+#define PLUG_TICK_GAP_MAX (500 * PLUG_MSEC)
+
 struct plug_view;
 
 enum plug_log_level {
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -19,6 +19,10 @@
 #define MISSED_ANSWERS	14.0
 #define UNANSWERED_TIME (250 * PLUG_MSEC)
 
+/* Between two ticks while a host refuses connections: a few times INTAKE_TICK,
+ * as a busy machine may hold them up. */
+#define TICK_LATE (50 * PLUG_MSEC)
+
 /* Until a request was measured. */
 #define WORK_UNKNOWN (100 * PLUG_MSEC)
 
@@ -47,6 +51,7 @@
 	*agent = (struct plug_track_agent){
 		.driver = driver,
 		.since = now,
+		.ticked = now,
 		.idle_timeout = IDLE_DEFAULT,
 	};
 	plug_admission_init(&agent->admission, now);
@@ -169,6 +174,18 @@
 	return missed;
 }
 
+/* What the host has sent while the agent did not run is read after this, and
+ * the host may have been paused with it. Such a time is no silence. */
+static void
+skip_pause(struct plug_track_agent *agent, plug_time now)
+{
+	plug_time gap = now - agent->ticked;
+
+	agent->ticked = now;
+	if (agent->unanswered != 0 && gap > TICK_LATE)
+		agent->unanswered += gap - TICK_LATE;
+}
+
 /* Declares a host dead that refuses connections and answers nothing. */
 static void
 check_host(struct plug_track_agent *agent, plug_time now)
@@ -450,6 +467,7 @@
 {
 	plug_time next;
 
+	skip_pause(agent, now);
 	check_host(agent, now);
 	check_failing(agent, now);
 	plug_intake_expire(agent, now);
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -96,6 +96,7 @@
  * @draining: the host is leaving
  * @unanswered: time of the first segment handed to the host since it last sent
  *   one; 0 without one
+ * @ticked: time of the last plug_track_agent_tick()
  * @since: time from which on every flow of the host has passed the agent
  * @whole: no host has run beside this agent without its knowledge
  * @idle_timeout: idle flows may be forgotten after this time
@@ -121,6 +122,7 @@
 	uint64_t host;
 	bool draining;
 	plug_time unanswered;
+	plug_time ticked;
 	plug_time since;
 	bool whole;
 	plug_time idle_timeout;
--- a/net/control.h
+++ b/net/control.h
@@ -11,8 +11,6 @@
 #include "platform.h"
 #include "bytecount.h"
 
-#define PLUG_TICK_GAP_MAX (500 * PLUG_MSEC) /* design 4.6 */
-
 /**
  * struct plug_control_hooks - what a role adds to the control thread
  * @view: receives each new view; takes its own reference
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -49,7 +49,8 @@
 	plug_time retry_at;
 	plug_time backoff;
 	plug_time connect_at;
-	plug_time heard_at; /* last byte, or first call after an idle time */
+	plug_time heard_at;   /* last byte, or first call after an idle time */
+	plug_time handled_at; /* last plug_upstream_handle() */
 	plug_time health_at;
 	uint32_t xid;
 	unsigned int call_count;
@@ -464,14 +465,17 @@
  * @events: revents of poll(2)
  * @now: current time
  *
- * Shall be called at least every 50 ms. A process that was paused gives the
- * upstream a new SILENCE_TIMEOUT only through bytes that wait in the socket,
- * so input is read before the timer is checked.
+ * Shall be called at least every 50 ms. The upstream may have been paused with
+ * the process, as on a machine that is paused: it then has a new
+ * SILENCE_TIMEOUT.
  */
 void
 plug_upstream_handle(
     struct plug_upstream *upstream, short events, plug_time now)
 {
+	if (now - upstream->handled_at > PLUG_TICK_GAP_MAX)
+		upstream->heard_at = now;
+	upstream->handled_at = now;
 	if (upstream->fd < 0) {
 		if (now >= upstream->retry_at)
 			connect_upstream(upstream, now);
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -311,6 +311,46 @@
 }
 END_TEST
 
+/* Guards against running work that is given up because agent and upstream did
+ * not run for a while, as on a machine that is paused. */
+START_TEST(pause_is_no_silence)
+{
+	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
+	fleet_run(fleet, 4500);
+	fleet->agents[0].silent = true;
+	fleet_run(fleet, 1200);
+	fleet->now += 5 * PLUG_SEC;
+	fleet_run(fleet, 100);
+	fleet->agents[0].silent = false;
+	fleet_run(fleet, 4500);
+	ck_assert_uint_eq(fleet->agents[0].reconnects, 0);
+}
+END_TEST
+
+/* Guards against an answer that reaches the next caller because the upstream
+ * sends its last one again while another request runs. */
+START_TEST(second_copy_of_an_answer_is_dropped)
+{
+	struct plug_agent_event copy = { .kind = PLUG_AGENT_UPSTREAM_REPLY };
+
+	(void)fleet_call(fleet, 0, token, 1, SHORT_WRITE);
+	copy.reply.id = fleet->agents[0].calls[0].id;
+	copy.reply.result = PLUG_UPSTREAM_DONE;
+	copy.reply.body = PLUG_STR("receipt 1");
+	fleet_assert_outcome(fleet_answer(fleet, 0, 0, PLUG_UPSTREAM_DONE,
+				 PLUG_STR("receipt 1")),
+	    PLUG_OUTCOME_DONE);
+	(void)fleet_call(fleet, 0, token, 2, SHORT_WRITE);
+	fleet_event(fleet, 0, &copy);
+	ck_assert_ptr_null(fleet_reply_to(fleet, 2));
+	ck_assert_uint_eq(fleet_running(fleet, 0), 1);
+	fleet_assert_outcome(fleet_answer(fleet, 0, 1, PLUG_UPSTREAM_DONE,
+				 PLUG_STR("receipt of 2")),
+	    PLUG_OUTCOME_DONE);
+	ck_assert_uint_eq(fleet_reply_to(fleet, 2)->total, 12);
+}
+END_TEST
+
 /* Guards against an answer that is put together from blocks of two runs. */
 START_TEST(large_answers_come_in_blocks)
 {
@@ -461,6 +501,8 @@
 	tcase_add_test(test, foreign_packets_are_fenced);
 	tcase_add_test(test, domain_taken_out);
 	tcase_add_test(test, silent_upstream_is_replaced);
+	tcase_add_test(test, pause_is_no_silence);
+	tcase_add_test(test, second_copy_of_an_answer_is_dropped);
 	tcase_add_test(test, large_answers_come_in_blocks);
 	tcase_add_test(test, resends_renew_the_path);
 	tcase_add_test(test, miss_asks_the_owner);
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -719,6 +719,83 @@
 }
 END_TEST
 
+/* Waits for the upstream's connection. */
+static int
+accept_upstream(
+    struct plug_upstream *upstream, const struct seen *seen, int listener)
+{
+	for (int i = 0; i < ROUNDS_MAX && seen->opens == 0; i++)
+		step(upstream);
+	return accept(listener, NULL, NULL);
+}
+
+/* Guards against an answer that broke off halfway and is taken for a whole
+ * one: at each byte, then the end of the connection. */
+START_TEST(cut_answer_of_the_upstream_is_none)
+{
+	const uint32_t done[] = { 0, PLUG_UPSTREAM_DONE, 0 };
+	struct plug_log *log =
+	    plug_log_create("test", "/dev/null", PLUG_LOG_ERROR, NULL);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	uint8_t buf[256];
+	size_t len = 2;
+
+	ck_assert_int_eq(listen(listener, 8), 0);
+	for (size_t cut = 1; cut < len; cut++) {
+		struct seen seen = { 0 };
+		struct plug_upstream *upstream = plug_upstream_create(
+		    (struct plug_endpoint){
+			INADDR_LOOPBACK, bound_endpoint(listener).port },
+		    7, log, count_event, &seen);
+		int fd = accept_upstream(upstream, &seen, listener);
+
+		plug_upstream_call(upstream, 100, 1, 50, PLUG_STR("a"));
+		len = encode_reply(buf, read_call(fd, 1), done, 3);
+		ck_assert_int_eq(send(fd, buf, cut, 0), cut);
+		(void)close(fd);
+		for (int i = 0; i < ROUNDS_MAX && seen.closes == 0; i++)
+			step(upstream);
+		ck_assert_uint_eq(seen.closes, 1);
+		ck_assert_uint_eq(seen.replies, 0);
+		plug_upstream_destroy(upstream);
+	}
+	(void)close(listener);
+	plug_log_destroy(log);
+}
+END_TEST
+
+/* Guards against running work that is given up because the process, and perhaps
+ * the whole machine, did not run for a while. */
+START_TEST(upstream_is_not_silent_after_a_pause)
+{
+	struct plug_log *log =
+	    plug_log_create("test", "/dev/null", PLUG_LOG_ERROR, NULL);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct plug_upstream *upstream;
+	struct seen seen = { 0 };
+	plug_time now;
+	int fd;
+
+	ck_assert_int_eq(listen(listener, 8), 0);
+	upstream = plug_upstream_create((struct plug_endpoint){ INADDR_LOOPBACK,
+					    bound_endpoint(listener).port },
+	    7, log, count_event, &seen);
+	fd = accept_upstream(upstream, &seen, listener);
+	plug_upstream_call(upstream, 100, 1, 50, PLUG_STR("a"));
+	now = plug_clock_now() + 10 * PLUG_SEC;
+	plug_upstream_handle(upstream, 0, now);
+	ck_assert_uint_eq(seen.closes, 0);
+	/* It is silent after as long in small steps. */
+	for (int i = 0; i < 100; i++)
+		plug_upstream_handle(upstream, 0, now += 40 * PLUG_MSEC);
+	ck_assert_uint_eq(seen.closes, 1);
+	(void)close(fd);
+	(void)close(listener);
+	plug_upstream_destroy(upstream);
+	plug_log_destroy(log);
+}
+END_TEST
+
 static void
 start_apr(void)
 {
@@ -748,6 +825,8 @@
 	tcase_add_test(test, peers_bound_the_queue);
 	tcase_add_test(test, peers_close_malformed_connections);
 	tcase_add_test(test, upstream_matches_replies_and_reconnects);
+	tcase_add_test(test, cut_answer_of_the_upstream_is_none);
+	tcase_add_test(test, upstream_is_not_silent_after_a_pause);
 	suite_add_tcase(suite, test);
 	return suite;
 }
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -300,6 +300,27 @@
 }
 END_TEST
 
+/* Guards against a living host that is found dead because the agent, or the
+ * whole machine, has not run for a while. */
+START_TEST(pause_is_no_silence)
+{
+	world_only(&world, 0);
+	for (uint16_t port = 1; port <= 4; port++)
+		world_open(&world, 0, port);
+	for (uint16_t port = 1; port <= 4; port++)
+		world_data(&world, 0, port);
+	world_run(&world, 5 * PLUG_MSEC);
+	world.hosts[0].listening = false;
+	world_probe(&world, 0);
+	world_pause(&world, 5 * PLUG_SEC);
+	world_run(&world, 100 * PLUG_MSEC);
+	for (uint16_t port = 1; port <= 4; port++) {
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+		ck_assert_uint_eq(world.clients[port].answers, 2);
+	}
+}
+END_TEST
+
 /* Guards against a request that is counted for ever because the client's copy
  * of it came when its answer was on the way: the host then seems full. */
 START_TEST(copy_of_a_request_is_no_request)
@@ -1172,6 +1193,7 @@
 	tcase_add_test(flows, reused_port_finds_another_host);
 	tcase_add_test(flows, reused_port_is_admitted_anew);
 	tcase_add_test(flows, late_answer_does_not_draw_a_flow);
+	tcase_add_test(flows, pause_is_no_silence);
 	tcase_add_test(flows, leaving_host_keeps_its_flows);
 	tcase_add_test(flows, returned_segment_ends_the_flow);
 	tcase_add_test(flows, opening_flow_whose_host_has_gone);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -623,6 +623,16 @@
 	host_sends(world, host, port, PLUG_SEGMENT_ACK, 1, 600);
 }
 
+/* Nothing runs for a while, as when machines are overcommitted. */
+void
+world_pause(struct world *world, plug_time time)
+{
+	for (unsigned int i = 0; i < world->count; i++)
+		world->messages[i].at += time;
+	world->now += time;
+	tick_all(world);
+}
+
 int
 world_holder(const struct world *world, uint16_t port)
 {
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -114,6 +114,7 @@
 void world_open(struct world *world, unsigned int entry, uint16_t port);
 void world_close(struct world *world, unsigned int entry, uint16_t port);
 void world_answer_again(struct world *world, unsigned int host, uint16_t port);
+void world_pause(struct world *world, plug_time time);
 int world_holder(const struct world *world, uint16_t port);
 unsigned int world_strange(const struct world *world);
 void world_only(struct world *world, unsigned int host);
