--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -78,6 +78,8 @@
     items = {}
     revision = 9
     oldest = 0  # first revision whose changes are still known
+    left = {}  # shown by reads that may lag: what has left since
+    left_after = 8
 
     def do_GET(self):
         prefix = self.path.split("prefix=")[1].split("&")[0]
@@ -88,11 +90,13 @@
             if int(self.path.split("after=")[1].split("&")[0]) < self.oldest:
                 status = 410
         else:
+            lags = "allow-stale=1" in self.path
+            items = {**self.items, **self.left} if lags else self.items
             body = {"items": [{"key": key, "rev": 3, "value":
                 base64.b64encode(json.dumps(value).encode()).decode()}
-                for key, value in self.items.items()
+                for key, value in items.items()
                 if key.startswith(prefix)], "has-more": False,
-                "store-revision": self.revision}
+                "store-revision": self.left_after if lags else self.revision}
         text = json.dumps(body).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(text)))
@@ -198,6 +202,7 @@
                 "cold-remaining-ms": 0},
             "servers/foreign": {"state": 5},
         }
+        Store.left = {"servers/i-0": dict(Store.items["servers/i-1"])}
 
     def settings(self, role):
         address = ENTRY if role == "entry" else SIDE
@@ -293,6 +298,10 @@
             deployment.get(ENTRY, "/metrics")[1])
         wait_for("histogram", lambda: "answer_ms_bucket" in
             deployment.get(SIDE, "/metrics")[1])
+        # Guards against a server that has left and is in use again after a
+        # restart, because a read of the store lags.
+        wait_for("left_host_stays_out",
+            lambda: not deployment.log_has("entry", "host=i-0 "))
         deployment.host.crash(deployment.health)
         wait_for("reset_after_crash",
             lambda: deployment.exchange(ACK, b"request", RST))
--- a/tests/unit/test_token.c
+++ b/tests/unit/test_token.c
@@ -65,6 +65,19 @@
 }
 END_TEST
 
+/* Guards against a token that is accepted after its key was withdrawn. */
+START_TEST(withdrawn_key_is_refused)
+{
+	struct plug_token_keys left = { .count = 1 };
+	uint8_t wire[PLUG_TOKEN_SIZE];
+	struct plug_token token;
+
+	plug_token_seal(&sample, &keys, wire);
+	memcpy(left.keys[0], keys.keys[1], PLUG_TOKEN_KEY_SIZE);
+	ck_assert_int_ne(plug_token_open(wire, &left, &token), PLUG_OK);
+}
+END_TEST
+
 Suite *
 token_suite(void)
 {
@@ -74,6 +87,7 @@
 	tcase_add_test(test, round_trip);
 	tcase_add_test(test, any_changed_bit_is_refused);
 	tcase_add_test(test, older_key_still_verifies);
+	tcase_add_test(test, withdrawn_key_is_refused);
 	suite_add_tcase(suite, test);
 	return suite;
 }
