--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -280,7 +280,7 @@
 
 		holder = open_flow();
 		world_close(&world, 0, 7);
-		world_run(&world, round * 10 * PLUG_SEC);
+		world_run(&world, (plug_time)round * 10 * PLUG_SEC);
 		world.hosts[holder].takes_syn = false;
 		world_open(&world, 0, 7);
 		ck_assert_int_ne(world_holder(&world, 7), (int)holder);
