--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -627,6 +627,25 @@
 	plug_upstream_handle(upstream, pollfd.revents, plug_clock_now());
 }
 
+static struct plug_upstream *
+create_upstream(int listener, struct plug_log *log, struct seen *seen)
+{
+	const struct plug_endpoint target = { INADDR_LOOPBACK,
+		bound_endpoint(listener).port };
+
+	return plug_upstream_create(target, 7, log, count_event, seen);
+}
+
+/* Waits for the connection. Return: the peer's descriptor. */
+static int
+accept_upstream(
+    struct plug_upstream *upstream, const struct seen *seen, int listener)
+{
+	for (int i = 0; i < ROUNDS_MAX && seen->opens == 0; i++)
+		step(upstream);
+	return accept(listener, NULL, NULL);
+}
+
 /* Reads calls until one of the procedure arrives; returns its xid. */
 static uint32_t
 read_call(int fd, uint32_t procedure)
@@ -677,12 +696,8 @@
 	int fd;
 
 	ck_assert_int_eq(listen(listener, 8), 0);
-	upstream = plug_upstream_create((struct plug_endpoint){ INADDR_LOOPBACK,
-					    bound_endpoint(listener).port },
-	    7, log, count_event, &seen);
-	for (int i = 0; i < ROUNDS_MAX && seen.opens == 0; i++)
-		step(upstream);
-	fd = accept(listener, NULL, NULL);
+	upstream = create_upstream(listener, log, &seen);
+	fd = accept_upstream(upstream, &seen, listener);
 	plug_upstream_call(upstream, 100, 1, 50, PLUG_STR("a"));
 	plug_upstream_call(upstream, 200, 2, 50, PLUG_STR("b"));
 	first = read_call(fd, 1);
@@ -719,16 +734,6 @@
 }
 END_TEST
 
-/* Waits for the upstream's connection. */
-static int
-accept_upstream(
-    struct plug_upstream *upstream, const struct seen *seen, int listener)
-{
-	for (int i = 0; i < ROUNDS_MAX && seen->opens == 0; i++)
-		step(upstream);
-	return accept(listener, NULL, NULL);
-}
-
 /* Guards against an answer that broke off halfway and is taken for a whole
  * one: at each byte, then the end of the connection. */
 START_TEST(cut_answer_of_the_upstream_is_none)
@@ -743,10 +748,8 @@
 	ck_assert_int_eq(listen(listener, 8), 0);
 	for (size_t cut = 1; cut < len; cut++) {
 		struct seen seen = { 0 };
-		struct plug_upstream *upstream = plug_upstream_create(
-		    (struct plug_endpoint){
-			INADDR_LOOPBACK, bound_endpoint(listener).port },
-		    7, log, count_event, &seen);
+		struct plug_upstream *upstream =
+		    create_upstream(listener, log, &seen);
 		int fd = accept_upstream(upstream, &seen, listener);
 
 		plug_upstream_call(upstream, 100, 1, 50, PLUG_STR("a"));
@@ -777,9 +780,7 @@
 	int fd;
 
 	ck_assert_int_eq(listen(listener, 8), 0);
-	upstream = plug_upstream_create((struct plug_endpoint){ INADDR_LOOPBACK,
-					    bound_endpoint(listener).port },
-	    7, log, count_event, &seen);
+	upstream = create_upstream(listener, log, &seen);
 	fd = accept_upstream(upstream, &seen, listener);
 	plug_upstream_call(upstream, 100, 1, 50, PLUG_STR("a"));
 	now = plug_clock_now() + 10 * PLUG_SEC;
