Find a waiter's chance once, and drop what nothing reads

Reading the change again: admission asked for the chance of a waiter up to three times and for its shortness twice whenever it compared two; an agent stored the priority and objective of each route, which nothing read, and looked the route up twice for each new flow; the slack of idle flows stood in two files; three calls that one file uses were in headers.

Now struct turn has what the comparison needs, plug_worktimes_learn() returns the route that it learns, and plug_held_complete() is beside the table that it speaks of. Behaviour is the same: no test was changed.

--- a/libplantainlug/track/admission.c
+++ b/libplantainlug/track/admission.c
@@ -1,5 +1,4 @@
 #include <stdlib.h>
-#include <string.h>
 
 #include "admission.h"
 #include "mechanism.h"
@@ -154,26 +153,42 @@
 							: CHANCE_SAFE;
 }
 
-/* Lower ones go first: the urgent routes, what can be answered in time, and
- * what takes little of the host. */
-static uint64_t
-rank_of(const struct plug_waiter *waiter, plug_time now,
+/**
+ * struct turn - when a waiter goes, compared with others
+ * @rank: lower ones go first: the urgent routes, what can be answered in time,
+ *   and what takes little of the host
+ * @chance: see enum chance
+ * @is_short: it takes little of the host
+ */
+struct turn {
+	uint64_t rank;
+	enum chance chance;
+	bool is_short;
+};
+
+static struct turn
+turn_of(const struct plug_waiter *waiter, plug_time now,
     const struct plug_host_work *work)
 {
-	return (uint64_t)waiter->priority * 8 +
-	       (uint64_t)chance_of(waiter, now, work) * 2 +
-	       (plug_worktimes_short(work->times, waiter->route) ? 0 : 1);
+	struct turn turn = {
+		.chance = chance_of(waiter, now, work),
+		.is_short = plug_worktimes_short(work->times, waiter->route),
+	};
+
+	turn.rank = (uint64_t)waiter->priority * 8 + (uint64_t)turn.chance * 2 +
+		    (turn.is_short ? 0 : 1);
+	return turn;
 }
 
 /* Among equals, the oldest one goes first while its answer is safe. After that
  * there is more to do than can be done in time, and the newest one has the best
  * chance and a client that is certain to wait for it still. */
 static bool
-goes_before_older(const struct plug_waiter *waiter, plug_time now,
-    const struct plug_host_work *work)
+goes_before(const struct turn *newer, const struct turn *older)
 {
-	return plug_has(PLUG_MECHANISM_NEWEST) &&
-	       chance_of(waiter, now, work) != CHANCE_SAFE;
+	if (newer->rank != older->rank)
+		return newer->rank < older->rank;
+	return plug_has(PLUG_MECHANISM_NEWEST) && newer->chance != CHANCE_SAFE;
 }
 
 static double
@@ -216,11 +231,9 @@
  * never get a new one. A short request delays the others little, so it may wait
  * in the host's own queue if it is answered in time then. */
 static bool
-may_queue(const struct plug_waiter *waiter, plug_time start,
-    const struct plug_host_work *work)
+may_queue(const struct turn *turn)
 {
-	return plug_worktimes_short(work->times, waiter->route) &&
-	       chance_of(waiter, start, work) != CHANCE_LATE;
+	return turn->is_short && turn->chance != CHANCE_LATE;
 }
 
 /* Whether a cold host bears another new flow. */
@@ -253,22 +266,20 @@
 	struct plug_waiter *best = NULL, *waiter;
 	bool room = has_room(admission, work);
 	plug_time start = now + wait_at_host(admission, work);
-	uint64_t best_rank = 0;
+	struct turn best_turn = { 0 };
 
 	if (admission->first == NULL ||
 	    (!room && !plug_worktimes_any_short(work->times)) ||
 	    !has_token(admission, now))
 		return NULL;
 	for (waiter = admission->first; waiter != NULL; waiter = waiter->next) {
-		uint64_t rank = rank_of(waiter, start, work);
+		const struct turn turn = turn_of(waiter, start, work);
 
-		if (!room && !may_queue(waiter, start, work))
+		if (!room && !may_queue(&turn))
 			continue;
-		if (best == NULL || rank < best_rank ||
-		    (rank == best_rank &&
-			goes_before_older(waiter, start, work))) {
+		if (best == NULL || goes_before(&turn, &best_turn)) {
 			best = waiter;
-			best_rank = rank;
+			best_turn = turn;
 		}
 	}
 	if (best == NULL)
@@ -278,24 +289,6 @@
 	return take(admission, best);
 }
 
-/**
- * plug_admission_wait() - how long something new would wait if all else went
- *   before it
- * @admission: admission
- * @work: what the host has to do
- *
- * Return: microseconds; 0 while it is not known how long requests take.
- */
-plug_time
-plug_admission_wait(
-    const struct plug_admission *admission, const struct plug_host_work *work)
-{
-	struct plug_host_work all = *work;
-
-	all.opening += admission->waiting;
-	return wait_at_host(admission, &all);
-}
-
 /**
  * plug_admission_overflow() - take a new flow that can't be served any more
  * @admission: admission
@@ -311,23 +304,24 @@
 plug_admission_overflow(struct plug_admission *admission, plug_time now,
     const struct plug_host_work *work)
 {
-	plug_time wait = plug_admission_wait(admission, work);
-	struct plug_waiter *worst = admission->first, *waiter;
-	uint64_t worst_rank = 0;
+	struct plug_host_work before_last = *work;
+	struct plug_waiter *worst = NULL, *waiter;
+	struct turn worst_turn = { 0 };
 
-	if (worst == NULL || !plug_has(PLUG_MECHANISM_OVERFLOW))
+	if (admission->first == NULL || !plug_has(PLUG_MECHANISM_OVERFLOW))
 		return NULL;
+	before_last.opening += admission->waiting;
 	for (waiter = admission->first; waiter != NULL; waiter = waiter->next) {
-		uint64_t rank = rank_of(waiter, now, work);
+		const struct turn turn = turn_of(waiter, now, work);
 
-		if (rank > worst_rank ||
-		    (rank == worst_rank &&
-			!goes_before_older(waiter, now, work))) {
+		if (worst == NULL || !goes_before(&turn, &worst_turn)) {
 			worst = waiter;
-			worst_rank = rank;
+			worst_turn = turn;
 		}
 	}
-	return now + wait <= worst->until ? NULL : take(admission, worst);
+	return now + wait_at_host(admission, &before_last) <= worst->until
+		   ? NULL
+		   : take(admission, worst);
 }
 
 /**
--- a/libplantainlug/track/admission.h
+++ b/libplantainlug/track/admission.h
@@ -82,7 +82,5 @@
     plug_time now, const struct plug_host_work *work);
 struct plug_waiter *plug_admission_take_if(struct plug_admission *admission,
     bool (*matches)(void *data, const struct plug_waiter *waiter), void *data);
-plug_time plug_admission_wait(
-    const struct plug_admission *admission, const struct plug_host_work *work);
 
 #endif
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -388,7 +388,7 @@
 	plug_track_segment(agent->driver, PLUG_TRACK_TO_CLIENT, 0, segment);
 	flow = plug_conntable_find(&agent->flows, &segment->tuple);
 	/* A flow that a complete table lacks has ended: this is a late copy. */
-	if (flow == NULL && !plug_holding_complete(agent, now) &&
+	if (flow == NULL && !plug_held_complete(agent, now) &&
 	    (segment->flags & (PLUG_SEGMENT_RST | PLUG_SEGMENT_FIN)) == 0)
 		flow = plug_held_add(
 		    agent, now, &segment->tuple, PLUG_HELD_OPENING, 0);
--- a/libplantainlug/track/agent_flows.c
+++ b/libplantainlug/track/agent_flows.c
@@ -176,6 +176,23 @@
 		    (struct plug_held_flow *)agent->flows.oldest, reason);
 }
 
+static plug_time
+idle_limit(const struct plug_track_agent *agent)
+{
+	return agent->idle_timeout + IDLE_SLACK;
+}
+
+/**
+ * plug_held_complete() - all flows of the host are in the table
+ * @agent: agent
+ * @now: time
+ */
+bool
+plug_held_complete(const struct plug_track_agent *agent, plug_time now)
+{
+	return agent->whole || now - agent->since > idle_limit(agent);
+}
+
 static plug_time
 lifetime(
     const struct plug_track_agent *agent, const struct plug_held_flow *flow)
@@ -184,7 +201,7 @@
 		return PROBE_TIME;
 	if (plug_held_closed(flow))
 		return CLOSED_TIME;
-	return agent->idle_timeout + IDLE_SLACK;
+	return idle_limit(agent);
 }
 
 /**
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -17,12 +17,9 @@
 #define PENDING_MIN	(10 * PLUG_MSEC)
 #define PENDING_MAX	(500 * PLUG_MSEC)
 
-/**
- * plug_intake_work() - what the host has to do
- * @agent: agent; the result borrows from it
- */
-struct plug_host_work
-plug_intake_work(const struct plug_track_agent *agent)
+/* What the host has to do; the result borrows from the agent. */
+static struct plug_host_work
+work_of(const struct plug_track_agent *agent)
 {
 	return (struct plug_host_work){
 		.running = agent->running,
@@ -153,7 +150,7 @@
 static void
 refuse_overflow(struct plug_track_agent *agent, plug_time now)
 {
-	const struct plug_host_work work = plug_intake_work(agent);
+	const struct plug_host_work work = work_of(agent);
 	struct plug_waiter *waiter;
 
 	while ((waiter = plug_admission_overflow(
@@ -207,7 +204,7 @@
 plug_intake_step(struct plug_track_agent *agent, plug_time now)
 {
 	while (agent->admission.first != NULL && agent->state == PLUG_HOST_UP) {
-		const struct plug_host_work work = plug_intake_work(agent);
+		const struct plug_host_work work = work_of(agent);
 		struct plug_waiter *waiter =
 		    plug_admission_next(&agent->admission, now, &work);
 
@@ -279,7 +276,7 @@
 		return;
 	*waiter = (struct plug_waiter){
 		.tuple = segment->tuple,
-		.route = plug_worktimes_route(
+		.route = plug_worktimes_learn(
 		    &agent->times, plug_tuple_route(&segment->tuple)),
 		.entry = from,
 		.host = open->host,
@@ -338,8 +335,6 @@
 	plug_admission_configure(&agent->admission, now, open->slots,
 	    open->cold_milli_per_s / 1000.0,
 	    open->cold_ms > 0 ? now + open->cold_ms * PLUG_MSEC : 0);
-	plug_worktimes_describe(&agent->times, plug_tuple_route(&segment.tuple),
-	    open->priority, open->aim_ms * PLUG_MSEC);
 	if (!waits(agent, &segment.tuple, from))
 		admit_or_wait(agent, now, from, open, &segment);
 }
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -4,6 +4,8 @@
 #include "agent.h"
 
 /* agent_flows.c: the table of the host's flows */
+bool plug_held_closed(const struct plug_held_flow *flow);
+bool plug_held_complete(const struct plug_track_agent *agent, plug_time now);
 void plug_held_count(struct plug_track_agent *agent,
     const struct plug_held_flow *flow, int sign);
 void
@@ -26,8 +28,6 @@
     struct plug_track_agent *agent, plug_time now, struct plug_held_flow *flow);
 void plug_intake_step(struct plug_track_agent *agent, plug_time now);
 void plug_intake_refuse(struct plug_track_agent *agent, plug_time now);
-bool plug_held_closed(const struct plug_held_flow *flow);
-bool plug_holding_complete(const struct plug_track_agent *agent, plug_time now);
 void plug_intake_expire(struct plug_track_agent *agent, plug_time now);
 void plug_intake_refused(struct plug_track_agent *agent, uint32_t entry,
     uint64_t host, const struct plug_segment *segment,
@@ -36,7 +36,6 @@
     const struct plug_segment *segment);
 void plug_intake_hand_over(struct plug_track_agent *agent, plug_time now,
     const struct plug_segment *segment);
-struct plug_host_work plug_intake_work(const struct plug_track_agent *agent);
 
 /* agent_lookup.c: which flows the host holds */
 void plug_holding_locate(struct plug_track_agent *agent, plug_time now,
--- a/libplantainlug/track/agent_lookup.c
+++ b/libplantainlug/track/agent_lookup.c
@@ -4,31 +4,16 @@
  * bytes with its headers. */
 #define ANSWERS_PER_NOTICE 40
 
-#define IDLE_SLACK (10 * PLUG_SEC) /* entries forget first */
-
 /* Two hosts may have answered the same SYN, and a client may use its port for
  * one flow after another. It acknowledges the sequence number of one host; data
  * makes no more difference than this. */
 #define ACK_WINDOW 76800U
 
-/**
- * plug_holding_complete() - all flows of the host are in the table
- * @agent: agent
- * @now: time
- */
-bool
-plug_holding_complete(const struct plug_track_agent *agent, plug_time now)
-{
-	return agent->whole ||
-	       now - agent->since > agent->idle_timeout + IDLE_SLACK;
-}
-
 /* Whether a flow that isn't in the table can't be at the host. */
 static bool
 is_sure(const struct plug_track_agent *agent, plug_time now)
 {
-	return agent->state == PLUG_HOST_DOWN ||
-	       plug_holding_complete(agent, now);
+	return agent->state == PLUG_HOST_DOWN || plug_held_complete(agent, now);
 }
 
 static void
--- a/libplantainlug/track/worktimes.c
+++ b/libplantainlug/track/worktimes.c
@@ -39,22 +39,16 @@
 }
 
 /**
- * plug_worktimes_describe() - what the configuration says of a route
+ * plug_worktimes_learn() - a flow of a route has come
  * @times: times; zeroed memory is a valid start
- * @route: route; one too many is not kept
- * @priority: 0 is highest
- * @aim: time within which clients want an answer
+ * @route: route
+ *
+ * Return: the route, or NULL for one too many, which is not kept.
  */
-void
-plug_worktimes_describe(struct plug_worktimes *times,
-    struct plug_endpoint route, uint32_t priority, plug_time aim)
+const struct plug_worktime *
+plug_worktimes_learn(struct plug_worktimes *times, struct plug_endpoint route)
 {
-	struct plug_worktime *known = find_or_add(times, route);
-
-	if (known == NULL)
-		return;
-	known->priority = priority;
-	known->aim = aim;
+	return find_or_add(times, route);
 }
 
 /**
--- a/libplantainlug/track/worktimes.h
+++ b/libplantainlug/track/worktimes.h
@@ -9,14 +9,10 @@
 /**
  * struct plug_worktime - what an agent knows of the requests of one route
  * @route: address and port that clients name
- * @priority: 0 is highest
- * @aim: time within which clients want an answer; 0 while unknown
  * @work: how long the host works on a request now
  */
 struct plug_worktime {
 	struct plug_endpoint route;
-	uint32_t priority;
-	plug_time aim;
 	struct plug_estimate work;
 };
 
@@ -24,7 +20,7 @@
  * struct plug_worktimes - how long one host works on requests
  * @all: requests of all routes
  * @count: length of @routes
- * @routes: routes that have had a request
+ * @routes: routes that have had a flow
  */
 struct plug_worktimes {
 	struct plug_estimate all;
@@ -34,8 +30,8 @@
 
 const struct plug_worktime *plug_worktimes_route(
     const struct plug_worktimes *times, struct plug_endpoint route);
-void plug_worktimes_describe(struct plug_worktimes *times,
-    struct plug_endpoint route, uint32_t priority, plug_time aim);
+const struct plug_worktime *
+plug_worktimes_learn(struct plug_worktimes *times, struct plug_endpoint route);
 void plug_worktimes_add(
     struct plug_worktimes *times, struct plug_endpoint route, plug_time time);
 const struct plug_estimate *plug_worktimes_work(
