--- a/net/adapter.h
+++ b/net/adapter.h
@@ -86,6 +86,8 @@
  * @ready_path: path of the readiness check
  * @health_path: path of a host's health check while none is configured
  * @query_url: URL of a query; false when it doesn't fit
+ * @read_store_header: takes the store's generation from a header line of an
+ *   answer; false when the line has none
  * @read_answer: calls @item for each item of an answer's body
  * @read_health: takes what it knows from one header line
  * @decode_client: header of a segment of a client, or one returned by a host
@@ -101,6 +103,7 @@
 	const char *health_path;
 	bool (*query_url)(const struct plug_store_query *query,
 	    struct plug_endpoint store, char *buf, size_t size);
+	bool (*read_store_header)(struct plug_str line, uint64_t *generation);
 	enum plug_code (*read_answer)(struct plug_str body,
 	    void (*item)(void *data, struct plug_store_item *item), void *data,
 	    struct plug_store_page *page, struct plug_status *status);
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -51,6 +51,8 @@
  * @due: time of the next query
  * @began: time when the first page was asked for
  * @revision: revision of the first page
+ * @answer_generation: generation of the store that the answer under way names;
+ *   0 when it names none
  * @failures: failures in a row
  */
 struct part {
@@ -60,6 +62,7 @@
 	plug_time due;
 	plug_time began;
 	uint64_t revision;
+	uint64_t answer_generation;
 	unsigned int failures;
 };
 
@@ -79,6 +82,12 @@
  * @known: hosts of the last complete list
  * @known_revision: its revision; 0 before the first one
  * @known_at: time of its adoption
+ * @generation: newest generation of the store that was seen; 0 when it names
+ *   none
+ * @ignored_since: when the first of the lists was ignored that came after the
+ *   one in force; 0 when none was
+ * @ignored_count: number of these lists
+ * @ignored_logged: they have a log line
  * @exact_at: when the last exact read began
  * @exact_wanted: an exact read was asked for
  * @failed: time of the last failure; 0 without one
@@ -103,6 +112,10 @@
 	struct plug_fleet_host *known;
 	uint64_t known_revision;
 	plug_time known_at;
+	uint64_t generation;
+	plug_time ignored_since;
+	unsigned int ignored_count;
+	bool ignored_logged;
 	plug_time exact_at;
 	bool exact_wanted;
 	plug_time failed;
@@ -110,6 +123,7 @@
 	uint64_t counters[PLUG_STORE_COUNTERS];
 };
 
+static void on_header(void *data, struct plug_str line);
 static void on_operators(void *data, const struct plug_fetch_answer *answer);
 static void on_hosts(void *data, const struct plug_fetch_answer *answer);
 
@@ -119,6 +133,7 @@
     void (*done)(void *data, const struct plug_fetch_answer *answer))
 {
 	const struct plug_fetch_handlers handlers = {
+		.header = on_header,
 		.done = done,
 		.data = part,
 		.body_max = ANSWER_SIZE_MAX,
@@ -387,6 +402,53 @@
 	part->failures = 0;
 }
 
+static void
+on_header(void *data, struct plug_str line)
+{
+	struct part *part = data;
+
+	(void)part->reader->adapter->read_store_header(
+	    line, &part->answer_generation);
+}
+
+static const char *
+part_name(const struct part *part)
+{
+	switch (part->query.what) {
+	case PLUG_STORE_OPERATORS:
+		return "operators";
+	case PLUG_STORE_CHANGES:
+		return "changes";
+	case PLUG_STORE_HOSTS:
+		return "hosts";
+	}
+	return "-";
+}
+
+/* Logs that the store was restored from a copy since the last answer. */
+static void
+note_generation(struct part *part, const struct plug_fetch_answer *answer)
+{
+	struct plug_storereader *reader = part->reader;
+
+	if (part->answer_generation <= reader->generation)
+		return;
+	if (reader->generation != 0) {
+		reader->counters[PLUG_STORE_RESTORED]++;
+		plug_client_log(reader->client, PLUG_LOG_WARN,
+		    "event=store_restored read=%s status=%ld generation=%llu "
+		    "before=%llu in_force=%llu config=%llu",
+		    part_name(part), answer->status,
+		    (unsigned long long)part->answer_generation,
+		    (unsigned long long)reader->generation,
+		    (unsigned long long)reader->known_revision,
+		    reader->config == NULL
+			? 0
+			: (unsigned long long)reader->config->version);
+	}
+	reader->generation = part->answer_generation;
+}
+
 /* Return: false when the answer can't be used; the part then backs off. */
 static bool
 read_page(struct part *part, plug_time now,
@@ -429,6 +491,7 @@
 	struct plug_store_page page;
 	bool changes = part->query.what == PLUG_STORE_CHANGES;
 
+	note_generation(part, answer);
 	part->due = now;
 	if (changes && answer->status == STATUS_GONE) {
 		plug_client_log(reader->client, PLUG_LOG_INFO,
@@ -483,7 +546,8 @@
 	reader->list_count++;
 }
 
-/* One line for each host that comes, goes or begins to leave. */
+/* One line for each host that comes, goes, begins to leave or is ready again.
+ */
 static void
 log_changes(struct plug_storereader *reader, const struct plug_fleet_host *old,
     unsigned int old_count, const struct plug_fleet_host *new,
@@ -497,19 +561,54 @@
 			j++;
 		if (j < old_count) {
 			if (strcmp(event, "host_gone") == 0 ||
-			    !new[i].draining || old[j].draining)
+			    new[i].draining == old[j].draining)
 				continue;
-			what = "host_draining";
+			what = new[i].draining ? "host_draining" : "host_ready";
 		}
 		plug_client_log(reader->client, PLUG_LOG_INFO,
-		    "event=%s host=%s revision=%llu", what, new[i].name,
+		    "event=%s host=%s generation=%llu revision=%llu", what,
+		    new[i].name, (unsigned long long)reader->generation,
 		    (unsigned long long)reader->hosts.revision);
 	}
 }
 
+/* Counts a list that is older than the one in force. Lists that may lag are for
+ * a moment; when all are for longer, the list in force is out of date. */
+static void
+note_ignored(struct plug_storereader *reader, plug_time now)
+{
+	reader->counters[PLUG_STORE_IGNORED]++;
+	if (reader->ignored_count++ == 0)
+		reader->ignored_since = now;
+	if (reader->ignored_logged || now - reader->ignored_since <= LAG_MAX)
+		return;
+	reader->ignored_logged = true;
+	plug_client_log(reader->client, PLUG_LOG_WARN,
+	    "event=host_lists_ignored reason=older count=%u revision=%llu "
+	    "in_force=%llu generation=%llu",
+	    reader->ignored_count, (unsigned long long)reader->hosts.revision,
+	    (unsigned long long)reader->known_revision,
+	    (unsigned long long)reader->generation);
+}
+
+static void
+end_ignoring(struct plug_storereader *reader, plug_time now)
+{
+	if (reader->ignored_logged)
+		plug_client_log(reader->client, PLUG_LOG_INFO,
+		    "event=host_list_current ignored=%u for_ms=%lld "
+		    "revision=%llu",
+		    reader->ignored_count,
+		    (long long)((now - reader->ignored_since) / PLUG_MSEC),
+		    (unsigned long long)reader->hosts.revision);
+	reader->ignored_count = 0;
+	reader->ignored_logged = false;
+}
+
 static void
 adopt_list(struct plug_storereader *reader, plug_time now)
 {
+	end_ignoring(reader, now);
 	log_changes(reader, reader->known, reader->known_count, reader->list,
 	    reader->list_count, "host_listed");
 	log_changes(reader, reader->list, reader->list_count, reader->known,
@@ -533,6 +632,7 @@
 	plug_time now = plug_clock_now();
 	struct plug_store_page page;
 
+	note_generation(part, answer);
 	if (part->query.after_key[0] == '\0')
 		reader->list_count = 0;
 	part->due = now;
@@ -541,9 +641,12 @@
 	part->due = part->began + HOSTS_PERIOD;
 	if (!part->query.may_lag)
 		reader->exact_at = part->began;
-	if (part->revision >= reader->known_revision)
+	if (part->revision >= reader->known_revision) {
 		adopt_list(reader, now);
-	else if (now - reader->known_at > LAG_MAX)
+		return;
+	}
+	note_ignored(reader, now);
+	if (now - reader->known_at > LAG_MAX)
 		reader->exact_wanted = true;
 }
 
@@ -558,6 +661,7 @@
 		timeout += part->query.wait_ms;
 	if (part->query.after_key[0] == '\0')
 		part->began = now;
+	part->answer_generation = 0;
 	reader->counters[PLUG_STORE_CALLS]++;
 	if (part->query.may_lag)
 		reader->counters[PLUG_STORE_LAGGING]++;
--- a/net/storereader.h
+++ b/net/storereader.h
@@ -22,6 +22,8 @@
 	PLUG_STORE_LAGGING,    /* of these, that may lag */
 	PLUG_STORE_FAILURES,   /* without a usable answer */
 	PLUG_STORE_UNREADABLE, /* items that name nothing to use */
+	PLUG_STORE_IGNORED,    /* host lists older than the one in force */
+	PLUG_STORE_RESTORED,   /* restores of the store that were seen */
 	PLUG_STORE_COUNTERS,
 };
 
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -115,6 +115,8 @@
 		[PLUG_STORE_LAGGING] = "store_lagging_calls",
 		[PLUG_STORE_FAILURES] = "store_failures",
 		[PLUG_STORE_UNREADABLE] = "store_unreadable_items",
+		[PLUG_STORE_IGNORED] = "store_lists_ignored",
+		[PLUG_STORE_RESTORED] = "store_restores",
 	};
 	struct trackd *trackd = data;
 	plug_time age = plug_storereader_age(trackd->reader, plug_clock_now());
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -279,6 +279,26 @@
 }
 END_TEST
 
+/* Guards against a restore of the store that goes unnoticed, or is made up from
+ * a header that can't be read. */
+START_TEST(store_generation_header)
+{
+	static const char *const others[] = { "Date: 5",
+		"Store-Era:", "Store-Era: -5", "Store-Era: x", "Store-Era: 5x",
+		"Store-Era: 99999999999999999999" };
+	uint64_t generation = 0;
+
+	ck_assert(plug_platform_adapter.read_store_header(
+	    PLUG_STR("store-era: 41\r\n"), &generation));
+	ck_assert_uint_eq(generation, 41);
+	for (size_t i = 0; i < sizeof(others) / sizeof(others[0]); i++) {
+		ck_assert(!plug_platform_adapter.read_store_header(
+		    plug_str_from(others[i]), &generation));
+		ck_assert_uint_eq(generation, 41);
+	}
+}
+END_TEST
+
 static enum plug_code
 parse_settings(const char *text, struct plug_status *status)
 {
@@ -341,6 +361,7 @@
 	tcase_add_test(test, broken_answers_are_refused);
 	tcase_add_test(test, query_urls);
 	tcase_add_test(test, health_header);
+	tcase_add_test(test, store_generation_header);
 	tcase_add_test(test, tracking_settings);
 	suite_add_tcase(suite, test);
 	return suite;
