--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -306,12 +306,12 @@
 plug_storeview_end_hosts(struct plug_storeview *view, plug_time now,
     const struct plug_storeview_read *read)
 {
-	if (read->consistent)
-		view->consistent_read_at = read->began;
 	if (read->revision < view->revision) {
 		note_ignored(view, now, read->revision);
 		return false;
 	}
+	if (read->consistent)
+		view->consistent_read_at = read->began;
 	adopt_list(view, now, read->revision);
 	return true;
 }
--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -46,7 +46,8 @@
  * @hosts: hosts of the list in force
  * @revision: revision of that list; 0 before the first one
  * @adopted_at: time of its adoption
- * @consistent_read_at: when the last consistent read began
+ * @consistent_read_at: when the last consistent read began whose list was
+ *   adopted; 0 before the first one
  * @failed_at: time of the last read that failed; 0 without one
  * @generation: newest generation of the store that was seen; 0 when it names
  *   none
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -127,6 +127,19 @@
 }
 END_TEST
 
+/* Guards against a flow reset on the word of a list older than the lookup. */
+START_TEST(ignored_list_is_not_a_consistent_read)
+{
+	bool adopted;
+
+	take_config(1);
+	ck_assert(read_hosts(9, true, "a"));
+	now += PLUG_SEC;
+	adopted = read_hosts(4, true, "a b");
+	ck_assert_int_eq(consistent_read_at(), adopted ? now : START);
+}
+END_TEST
+
 /* Guards against a configuration that goes back within one run. */
 START_TEST(older_config_is_ignored)
 {
@@ -162,6 +175,7 @@
 
 	tcase_add_checked_fixture(test, setup, teardown);
 	tcase_add_test(test, lagging_host_list_is_ignored);
+	tcase_add_test(test, ignored_list_is_not_a_consistent_read);
 	tcase_add_test(test, older_config_is_ignored);
 	tcase_add_test(test, complete_read_takes_domains_back);
 	suite_add_tcase(suite, test);
