--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -36,6 +36,21 @@
 	free(view->hosts.hosts);
 }
 
+static void
+log_restored(struct plug_storeview *view, const char *read, const char *reason,
+    uint64_t generation)
+{
+	view->counters[PLUG_STOREVIEW_RESTORED]++;
+	plug_client_log(view->client, PLUG_LOG_WARN,
+	    "event=store_restored read=%s reason=%s generation=%llu "
+	    "before=%llu in_force=%llu version=%llu",
+	    read, reason, (unsigned long long)generation,
+	    (unsigned long long)view->generation,
+	    (unsigned long long)view->position.revision,
+	    view->config == NULL ? 0
+				 : (unsigned long long)view->config->version);
+}
+
 /**
  * plug_storeview_note_generation() - note the generation that an answer names
  * @view: view
@@ -48,18 +63,8 @@
 {
 	if (generation <= view->generation)
 		return;
-	if (view->generation != 0) {
-		view->counters[PLUG_STOREVIEW_RESTORED]++;
-		plug_client_log(view->client, PLUG_LOG_WARN,
-		    "event=store_restored read=%s generation=%llu before=%llu "
-		    "in_force=%llu version=%llu",
-		    read, (unsigned long long)generation,
-		    (unsigned long long)view->generation,
-		    (unsigned long long)view->revision,
-		    view->config == NULL
-			? 0
-			: (unsigned long long)view->config->version);
-	}
+	if (view->generation != 0)
+		log_restored(view, read, "generation", generation);
 	view->generation = generation;
 }
 
@@ -224,7 +229,8 @@
 static void
 log_changes(const struct plug_storeview *view,
     const struct plug_storeview_list *old,
-    const struct plug_storeview_list *new, const char *event, uint64_t revision)
+    const struct plug_storeview_list *new, const char *event,
+    struct plug_store_position position)
 {
 	for (unsigned int i = 0; i < new->count; i++) {
 		const struct plug_fleet_host *host = &new->hosts[i];
@@ -241,15 +247,16 @@
 		}
 		plug_client_log(view->client, PLUG_LOG_INFO,
 		    "event=%s host=%s generation=%llu revision=%llu", what,
-		    host->name, (unsigned long long)view->generation,
-		    (unsigned long long)revision);
+		    host->name, (unsigned long long)position.generation,
+		    (unsigned long long)position.revision);
 	}
 }
 
 /* Counts a list that is older than the one in force. Lists that may lag are for
  * a moment; when all are for longer, the list in force is out of date. */
 static void
-note_ignored(struct plug_storeview *view, plug_time now, uint64_t revision)
+note_ignored(struct plug_storeview *view, plug_time now,
+    struct plug_store_position position)
 {
 	view->counters[PLUG_STOREVIEW_IGNORED]++;
 	if (view->ignored_count++ == 0)
@@ -258,61 +265,79 @@
 		return;
 	view->ignored_logged = true;
 	plug_client_log(view->client, PLUG_LOG_WARN,
-	    "event=host_lists_ignored reason=older count=%u revision=%llu "
-	    "in_force=%llu generation=%llu",
-	    view->ignored_count, (unsigned long long)revision,
-	    (unsigned long long)view->revision,
-	    (unsigned long long)view->generation);
+	    "event=host_lists_ignored reason=older count=%u generation=%llu "
+	    "revision=%llu generation_in_force=%llu in_force=%llu",
+	    view->ignored_count, (unsigned long long)position.generation,
+	    (unsigned long long)position.revision,
+	    (unsigned long long)view->position.generation,
+	    (unsigned long long)view->position.revision);
 }
 
 static void
-end_ignoring(struct plug_storeview *view, plug_time now, uint64_t revision)
+end_ignoring(struct plug_storeview *view, plug_time now,
+    struct plug_store_position position)
 {
 	if (view->ignored_logged)
 		plug_client_log(view->client, PLUG_LOG_INFO,
 		    "event=host_list_current ignored=%u for_ms=%lld "
-		    "revision=%llu",
+		    "generation=%llu revision=%llu",
 		    view->ignored_count,
 		    (long long)((now - view->ignored_since) / PLUG_MSEC),
-		    (unsigned long long)revision);
+		    (unsigned long long)position.generation,
+		    (unsigned long long)position.revision);
 	view->ignored_count = 0;
 	view->ignored_logged = false;
 }
 
 static void
-adopt_list(struct plug_storeview *view, plug_time now, uint64_t revision)
+adopt_list(struct plug_storeview *view, plug_time now,
+    struct plug_store_position position)
 {
 	const struct plug_storeview_list old = view->hosts;
 
-	end_ignoring(view, now, revision);
-	log_changes(view, &old, &view->pending, "host_listed", revision);
-	log_changes(view, &view->pending, &old, "host_gone", revision);
+	end_ignoring(view, now, position);
+	log_changes(view, &old, &view->pending, "host_listed", position);
+	log_changes(view, &view->pending, &old, "host_gone", position);
 	view->hosts = view->pending;
-	view->revision = revision;
+	view->position = position;
 	view->adopted_at = now;
 	view->pending = old;
 	view->pending.count = 0;
 }
 
+static bool
+is_before(struct plug_store_position a, struct plug_store_position b)
+{
+	return a.generation != b.generation ? a.generation < b.generation
+					    : a.revision < b.revision;
+}
+
 /**
  * plug_storeview_end_hosts() - a read of the host list ends
  * @view: view
  * @now: time
  * @read: what was read
  *
+ * A list that is older than the one in force is ignored, unless it was read
+ * consistently: then the store has gone back without naming a generation.
+ *
  * Return: whether the list is in force now.
  */
 bool
 plug_storeview_end_hosts(struct plug_storeview *view, plug_time now,
     const struct plug_storeview_read *read)
 {
-	if (read->revision < view->revision) {
-		note_ignored(view, now, read->revision);
-		return false;
+	if (is_before(read->position, view->position)) {
+		if (!read->consistent) {
+			note_ignored(view, now, read->position);
+			return false;
+		}
+		log_restored(
+		    view, "hosts", "revision", read->position.generation);
 	}
 	if (read->consistent)
 		view->consistent_read_at = read->began;
-	adopt_list(view, now, read->revision);
+	adopt_list(view, now, read->position);
 	return true;
 }
 
@@ -342,7 +367,7 @@
 {
 	struct plug_fleet *fleet;
 
-	if (view->config == NULL || view->revision == 0)
+	if (view->config == NULL || view->position.revision == 0)
 		return NULL;
 	fleet = plug_fleet_create(view->config, view->hosts.count);
 	if (fleet == NULL)
@@ -351,7 +376,7 @@
 		memcpy(fleet->hosts, view->hosts.hosts,
 		    view->hosts.count * sizeof(*fleet->hosts));
 	plug_fleet_complete(fleet);
-	fleet->revision = view->revision;
+	fleet->revision = view->position.revision;
 	fleet->consistent_read_at = view->consistent_read_at;
 	fleet->authoritative = !plug_built_with(PLUG_MECHANISM_TRUST) ||
 			       view->failed_at == 0 ||
--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -4,6 +4,17 @@
 #include "../client.h"
 #include "fleet.h"
 
+/**
+ * struct plug_store_position - position in the history of the store
+ * @generation: number of the history: a store that is restored from a copy
+ *   starts a new one at an older revision; 0 when the store names none
+ * @revision: revision, increases with each change within a generation
+ */
+struct plug_store_position {
+	uint64_t generation;
+	uint64_t revision;
+};
+
 /**
  * struct plug_storeview_list - hosts of one read of the host list
  * @count: length of @hosts
@@ -19,12 +30,12 @@
 /**
  * struct plug_storeview_read - a complete read of the host list
  * @began: time when its first page was asked for
- * @revision: revision of the store at its first page
+ * @position: position of the store at its first page
  * @consistent: it is guaranteed to be current
  */
 struct plug_storeview_read {
 	plug_time began;
-	uint64_t revision;
+	struct plug_store_position position;
 	bool consistent;
 };
 
@@ -44,7 +55,7 @@
  * @found: those that the pages which are being read have shown
  * @pending: hosts of the pages that are being read
  * @hosts: hosts of the list in force
- * @revision: revision of that list; 0 before the first one
+ * @position: position of that list; its revision is 0 before the first one
  * @adopted_at: time of its adoption
  * @consistent_read_at: when the last consistent read began whose list was
  *   adopted; 0 before the first one
@@ -66,7 +77,7 @@
 	uint32_t found[PLUG_DOMAINS_OUT_MAX];
 	struct plug_storeview_list pending;
 	struct plug_storeview_list hosts;
-	uint64_t revision;
+	struct plug_store_position position;
 	plug_time adopted_at;
 	plug_time consistent_read_at;
 	plug_time failed_at;
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -43,8 +43,8 @@
  * @due: time of the next query
  * @began: time when the first page was asked for
  * @revision: revision of the first page
- * @answer_generation: generation of the store that the answer under way names;
- *   0 when it names none
+ * @generation: generation of the store that the last answer names; 0 when it
+ *   names none
  * @failures: failures in a row
  */
 struct part {
@@ -54,7 +54,7 @@
 	plug_time due;
 	plug_time began;
 	uint64_t revision;
-	uint64_t answer_generation;
+	uint64_t generation;
 	unsigned int failures;
 };
 
@@ -193,7 +193,9 @@
 plug_time
 plug_storereader_age(const struct plug_storereader *reader, plug_time now)
 {
-	return reader->view.revision == 0 ? -1 : now - reader->view.adopted_at;
+	return reader->view.position.revision == 0
+		   ? -1
+		   : now - reader->view.adopted_at;
 }
 
 static void
@@ -293,8 +295,7 @@
 {
 	struct part *part = data;
 
-	(void)part->reader->adapter->read_store_header(
-	    line, &part->answer_generation);
+	(void)part->reader->adapter->read_store_header(line, &part->generation);
 }
 
 static const char *
@@ -354,7 +355,7 @@
 	bool changes = part->query.what == PLUG_STORE_CHANGES;
 
 	plug_storeview_note_generation(
-	    &reader->view, part->answer_generation, part_name(part));
+	    &reader->view, part->generation, part_name(part));
 	part->due = now;
 	if (changes && answer->status == STATUS_GONE) {
 		plug_client_log(reader->client, PLUG_LOG_INFO,
@@ -406,7 +407,7 @@
 	struct plug_store_page page;
 
 	plug_storeview_note_generation(
-	    &reader->view, part->answer_generation, part_name(part));
+	    &reader->view, part->generation, part_name(part));
 	if (part->query.after_key[0] == '\0')
 		plug_storeview_begin_hosts(&reader->view);
 	part->due = now;
@@ -417,7 +418,7 @@
 		reader->exact_at = part->began;
 	read = (struct plug_storeview_read){
 		.began = part->began,
-		.revision = part->revision,
+		.position = { part->generation, part->revision },
 		.consistent = !part->query.may_lag,
 	};
 	if (plug_storeview_end_hosts(&reader->view, now, &read))
@@ -437,7 +438,7 @@
 		timeout += part->query.wait_ms;
 	if (part->query.after_key[0] == '\0')
 		part->began = now;
-	part->answer_generation = 0;
+	part->generation = 0;
 	reader->counters[PLUG_STORE_CALLS]++;
 	if (part->query.may_lag)
 		reader->counters[PLUG_STORE_LAGGING]++;
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -70,19 +70,27 @@
 }
 
 static bool
-read_hosts(uint64_t revision, bool consistent, const char *hosts)
+read_hosts_of(
+    uint64_t generation, uint64_t revision, bool consistent, const char *hosts)
 {
 	const struct plug_storeview_read read = {
 		.began = now,
-		.revision = revision,
+		.position = { generation, revision },
 		.consistent = consistent,
 	};
 
+	plug_storeview_note_generation(&view, generation, "hosts");
 	plug_storeview_begin_hosts(&view);
 	add_hosts(hosts);
 	return plug_storeview_end_hosts(&view, now, &read);
 }
 
+static bool
+read_hosts(uint64_t revision, bool consistent, const char *hosts)
+{
+	return read_hosts_of(0, revision, consistent, hosts);
+}
+
 static void
 expect_hosts(const char *hosts)
 {
@@ -140,6 +148,43 @@
 }
 END_TEST
 
+/* Guards against host lists that are ignored after a restore of the store until
+ * its revisions have passed those from before. */
+START_TEST(restored_host_list_is_adopted)
+{
+	take_config(1);
+	ck_assert(read_hosts_of(1, 20, true, "a b"));
+	ck_assert(read_hosts_of(2, 13, false, "a b- c"));
+	expect_hosts("a b- c");
+	ck_assert(!plug_storeview_is_outdated(&view, now + 2 * PLUG_SEC));
+}
+END_TEST
+
+/* Guards against a lagging read that brings back what the store was before its
+ * restore. */
+START_TEST(host_list_from_before_restore_is_ignored)
+{
+	ck_assert(read_hosts_of(1, 20, true, "a b"));
+	ck_assert(read_hosts_of(2, 13, false, "a"));
+	ck_assert(!read_hosts_of(1, 25, false, "a b"));
+	expect_hosts("a");
+}
+END_TEST
+
+/* Guards against the same ignored lists with a store that names no generation.
+ */
+START_TEST(consistent_host_list_is_never_older)
+{
+	ck_assert(read_hosts(20, true, "a b"));
+	ck_assert(!read_hosts(13, false, "a c"));
+	ck_assert(read_hosts(13, true, "a c"));
+	ck_assert(read_hosts(14, false, "c"));
+	expect_hosts("c");
+	ck_assert_uint_eq(view.counters[PLUG_STOREVIEW_RESTORED], 1);
+	ck_assert_ptr_nonnull(strstr(logged, "event=store_restored"));
+}
+END_TEST
+
 /* Guards against a configuration that goes back within one run. */
 START_TEST(older_config_is_ignored)
 {
@@ -176,6 +221,9 @@
 	tcase_add_checked_fixture(test, setup, teardown);
 	tcase_add_test(test, lagging_host_list_is_ignored);
 	tcase_add_test(test, ignored_list_is_not_a_consistent_read);
+	tcase_add_test(test, restored_host_list_is_adopted);
+	tcase_add_test(test, host_list_from_before_restore_is_ignored);
+	tcase_add_test(test, consistent_host_list_is_never_older);
 	tcase_add_test(test, older_config_is_ignored);
 	tcase_add_test(test, complete_read_takes_domains_back);
 	suite_add_tcase(suite, test);
