--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -147,14 +147,55 @@
 }
 
 /**
- * plug_storeview_begin_operators() - a complete read of the operators' part or
- * one of its changes begins
+ * plug_storeview_next_changes() - whether to read changes next
+ * @view: view
+ * @after_revision: receives the revision after which they are to be read
+ *
+ * Return: false when the operators' part is to be read completely.
+ */
+bool
+plug_storeview_next_changes(
+    const struct plug_storeview *view, uint64_t *after_revision)
+{
+	*after_revision = view->operators_at.revision;
+	return view->can_continue;
+}
+
+/**
+ * plug_storeview_restart_operators() - read the operators' part completely next
  * @view: view
  */
 void
-plug_storeview_begin_operators(struct plug_storeview *view)
+plug_storeview_restart_operators(struct plug_storeview *view)
+{
+	view->can_continue = false;
+}
+
+/**
+ * plug_storeview_begin_operators() - an answer on the operators' part begins
+ * @view: view
+ * @generation: generation that it names, or 0
+ * @changes: it has the changes since the last answer, not the complete part
+ *
+ * Revisions are given out again in a new generation: changes after a revision
+ * of the old one leave out what was written before.
+ *
+ * Return: false when the answer can't be used; a complete read is due then.
+ */
+bool
+plug_storeview_begin_operators(
+    struct plug_storeview *view, uint64_t generation, bool changes)
 {
 	view->found_count = 0;
+	if (!changes || generation == view->operators_at.generation)
+		return true;
+	plug_client_log(view->client, PLUG_LOG_INFO,
+	    "event=changes_dropped after=%llu generation=%llu before=%llu",
+	    (unsigned long long)view->operators_at.revision,
+	    (unsigned long long)generation,
+	    (unsigned long long)view->operators_at.generation);
+	view->can_continue = false;
+	return false;
 }
 
 static bool
@@ -167,15 +208,10 @@
 	return false;
 }
 
-/**
- * plug_storeview_end_operators() - a complete read of the operators' part ends
- * @view: view
- *
- * What was taken back while the history was dropped is missed by the changes:
- * a complete read doesn't show it.
- */
-void
-plug_storeview_end_operators(struct plug_storeview *view)
+/* What was taken back while the history was dropped is missed by the changes:
+ * a complete read doesn't show it. */
+static void
+take_back_missing(struct plug_storeview *view)
 {
 	for (unsigned int i = view->out_count; i-- > 0;) {
 		uint32_t domain = view->out[i];
@@ -185,6 +221,26 @@
 	}
 }
 
+/**
+ * plug_storeview_end_operators() - an answer on the operators' part ends
+ * @view: view
+ * @position: position that it was read at
+ * @changes: as for plug_storeview_begin_operators()
+ */
+void
+plug_storeview_end_operators(struct plug_storeview *view,
+    struct plug_store_position position, bool changes)
+{
+	view->can_continue = true;
+	if (!changes) {
+		take_back_missing(view);
+	} else if (position.revision < view->operators_at.revision) {
+		log_restored(view, "changes", "revision", position.generation);
+		view->can_continue = false;
+	}
+	view->operators_at = position;
+}
+
 /**
  * plug_storeview_begin_hosts() - a read of the host list begins
  * @view: view
--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -51,6 +51,9 @@
  * @config: configuration in force; NULL before the first one
  * @out_count: length of @out
  * @out: hashes of the domains that are out of service
+ * @can_continue: the operators' part is known up to @operators_at, so that its
+ *   changes will do
+ * @operators_at: position of the last read of that part
  * @found_count: length of @found
  * @found: those that the pages which are being read have shown
  * @pending: hosts of the pages that are being read
@@ -73,6 +76,8 @@
 	struct plug_config *config;
 	unsigned int out_count;
 	uint32_t out[PLUG_DOMAINS_OUT_MAX];
+	bool can_continue;
+	struct plug_store_position operators_at;
 	unsigned int found_count;
 	uint32_t found[PLUG_DOMAINS_OUT_MAX];
 	struct plug_storeview_list pending;
@@ -98,8 +103,13 @@
     struct plug_storeview *view, struct plug_config *config);
 void plug_storeview_take_domain(
     struct plug_storeview *view, uint32_t domain, bool out);
-void plug_storeview_begin_operators(struct plug_storeview *view);
-void plug_storeview_end_operators(struct plug_storeview *view);
+bool plug_storeview_next_changes(
+    const struct plug_storeview *view, uint64_t *after_revision);
+void plug_storeview_restart_operators(struct plug_storeview *view);
+bool plug_storeview_begin_operators(
+    struct plug_storeview *view, uint64_t generation, bool changes);
+void plug_storeview_end_operators(struct plug_storeview *view,
+    struct plug_store_position position, bool changes);
 void plug_storeview_begin_hosts(struct plug_storeview *view);
 void plug_storeview_add_host(struct plug_storeview *view, plug_time now,
     const struct plug_fleet_host *host);
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -31,6 +31,7 @@
 #define BACKOFF_MIN (100 * PLUG_MSEC)
 #define BACKOFF_MAX PLUG_SEC
 
+#define STATUS_OK   200
 #define STATUS_GONE 410 /* the history that was asked for was dropped */
 
 #define UNREADABLE_INTERVAL (5 * PLUG_SEC) /* between log lines about them */
@@ -323,7 +324,7 @@
 	struct plug_status status;
 	char reason[64];
 
-	if (answer->status != 200) {
+	if (answer->status != STATUS_OK) {
 		(void)snprintf(
 		    reason, sizeof(reason), "status %ld", answer->status);
 		fail(part, now, answer->status == 0 ? answer->reason : reason);
@@ -345,6 +346,19 @@
 	return true;
 }
 
+/* Chooses between the changes since the last answer and a complete read. */
+static void
+set_operators_query(struct plug_storereader *reader)
+{
+	struct plug_store_query *query = &reader->operators.query;
+
+	query->what = PLUG_STORE_OPERATORS;
+	if (reader->handlers.fleet != NULL &&
+	    plug_storeview_next_changes(&reader->view, &query->after_revision))
+		query->what = PLUG_STORE_CHANGES;
+	query->wait_ms = CHANGES_WAIT_MS;
+}
+
 static void
 on_operators(void *data, const struct plug_fetch_answer *answer)
 {
@@ -353,6 +367,7 @@
 	plug_time now = plug_clock_now();
 	struct plug_store_page page;
 	bool changes = part->query.what == PLUG_STORE_CHANGES;
+	bool first = part->query.after_key[0] == '\0';
 
 	plug_storeview_note_generation(
 	    &reader->view, part->generation, part_name(part));
@@ -361,26 +376,25 @@
 		plug_client_log(reader->client, PLUG_LOG_INFO,
 		    "event=store_history_dropped after=%llu",
 		    (unsigned long long)part->query.after_revision);
-		part->query.what = PLUG_STORE_OPERATORS;
+		plug_storeview_restart_operators(&reader->view);
 		return;
 	}
-	if (part->query.after_key[0] == '\0')
-		plug_storeview_begin_operators(&reader->view);
-	if (!read_page(part, now, answer, on_operators_item, &page))
+	if (first && answer->status == STATUS_OK &&
+	    !plug_storeview_begin_operators(
+		&reader->view, part->generation, changes))
 		return;
-	if (page.more)
+	if (!read_page(part, now, answer, on_operators_item, &page) ||
+	    page.more)
 		return;
-	if (!changes)
-		plug_storeview_end_operators(&reader->view);
-	if (reader->handlers.fleet == NULL) {
+	plug_storeview_end_operators(&reader->view,
+	    (struct plug_store_position){
+		part->generation, changes ? page.revision : part->revision },
+	    changes);
+	if (reader->handlers.fleet == NULL)
 		part->due = now + (reader->view.config == NULL ? FIRST_PERIOD
 							       : AGENT_PERIOD);
-		return;
-	}
-	part->query.what = PLUG_STORE_CHANGES;
-	part->query.after_revision = changes ? page.revision : part->revision;
-	part->query.wait_ms = CHANGES_WAIT_MS;
-	publish(reader, now);
+	else
+		publish(reader, now);
 }
 
 static void
@@ -462,10 +476,13 @@
 	plug_time next = now + PLUG_SEC;
 
 	if (!plug_fetch_busy(operators->slot)) {
-		if (operators->due <= now)
+		if (operators->due <= now) {
+			if (operators->query.after_key[0] == '\0')
+				set_operators_query(reader);
 			start(operators, now);
-		else if (operators->due < next)
+		} else if (operators->due < next) {
 			next = operators->due;
+		}
 	}
 	if (reader->handlers.fleet == NULL || plug_fetch_busy(hosts->slot))
 		return next;
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -91,6 +91,21 @@
 	return read_hosts_of(0, revision, consistent, hosts);
 }
 
+/* A complete read that shows @out, names separated by spaces, as out of
+ * service. */
+static void
+read_operators(uint64_t generation, uint64_t revision, const char *out)
+{
+	plug_storeview_note_generation(&view, generation, "operators");
+	ck_assert(plug_storeview_begin_operators(&view, generation, false));
+	if (strstr(out, "north") != NULL)
+		plug_storeview_take_domain(&view, NORTH, true);
+	if (strstr(out, "south") != NULL)
+		plug_storeview_take_domain(&view, SOUTH, true);
+	plug_storeview_end_operators(
+	    &view, (struct plug_store_position){ generation, revision }, false);
+}
+
 static void
 expect_hosts(const char *hosts)
 {
@@ -199,19 +214,46 @@
  * written while the history was dropped. */
 START_TEST(complete_read_takes_domains_back)
 {
-	plug_storeview_begin_operators(&view);
-	plug_storeview_take_domain(&view, NORTH, true);
-	plug_storeview_take_domain(&view, SOUTH, true);
-	plug_storeview_end_operators(&view);
+	read_operators(1, 8, "north south");
 	ck_assert_uint_eq(view.out_count, 2);
-	plug_storeview_begin_operators(&view);
-	plug_storeview_take_domain(&view, SOUTH, true);
-	plug_storeview_end_operators(&view);
+	read_operators(1, 9, "south");
 	ck_assert_uint_eq(view.out_count, 1);
 	ck_assert_uint_eq(view.out[0], SOUTH);
 }
 END_TEST
 
+/* Guards against an evacuation or a version that is missed because the changes
+ * after a revision of the old history are asked for in the new one. */
+START_TEST(changes_are_not_continued_across_a_restore)
+{
+	uint64_t after;
+
+	read_operators(1, 20, "");
+	ck_assert(plug_storeview_next_changes(&view, &after));
+	ck_assert_uint_eq(after, 20);
+	ck_assert(!plug_storeview_begin_operators(&view, 2, true));
+	ck_assert(!plug_storeview_next_changes(&view, &after));
+	read_operators(2, 26, "north");
+	ck_assert_uint_eq(view.out_count, 1);
+	ck_assert(plug_storeview_next_changes(&view, &after));
+	ck_assert_uint_eq(after, 26);
+	ck_assert(plug_storeview_begin_operators(&view, 2, true));
+}
+END_TEST
+
+/* Guards against the same with a store that names no generation. */
+START_TEST(changes_that_go_back_lead_to_a_complete_read)
+{
+	uint64_t after;
+
+	read_operators(0, 20, "");
+	ck_assert(plug_storeview_begin_operators(&view, 0, true));
+	plug_storeview_end_operators(
+	    &view, (struct plug_store_position){ 0, 15 }, true);
+	ck_assert(!plug_storeview_next_changes(&view, &after));
+}
+END_TEST
+
 Suite *
 storeview_suite(void)
 {
@@ -226,6 +268,8 @@
 	tcase_add_test(test, consistent_host_list_is_never_older);
 	tcase_add_test(test, older_config_is_ignored);
 	tcase_add_test(test, complete_read_takes_domains_back);
+	tcase_add_test(test, changes_are_not_continued_across_a_restore);
+	tcase_add_test(test, changes_that_go_back_lead_to_a_complete_read);
 	suite_add_tcase(suite, test);
 	return suite;
 }
