--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -302,8 +302,10 @@
 			what = host->draining ? "host_draining" : "host_ready";
 		}
 		plug_client_log(view->client, PLUG_LOG_INFO,
-		    "event=%s host=%s generation=%llu revision=%llu", what,
-		    host->name, (unsigned long long)position.generation,
+		    "event=%s host=%s draining=%d generation=%llu "
+		    "revision=%llu",
+		    what, host->name, host->draining,
+		    (unsigned long long)position.generation,
 		    (unsigned long long)position.revision);
 	}
 }
--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -11,7 +11,6 @@
 import http.server
 import json
 import os
-import random
 import signal
 import socket
 import struct
@@ -23,12 +22,13 @@
 import urllib.error
 import urllib.request
 
+from ports import free_port
+
 ENTRY, SIDE, CLIENT, STORE = "127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"
 SERVICE = ("198.18.0.1", 443)
 CLIENT_PORT = 4001
 SYN, RST, ACK, BOUNCED = 1, 2, 16, 32
 HEADER = struct.Struct(">BII4sHH4sHII")
-LEAST_PORT = 10000
 LOG_LINES = 20  # of each process, shown after a failure
 GENEROUS = 20.0  # seconds for a condition that is met in milliseconds
 
@@ -37,25 +37,6 @@
     """A condition wasn't met in time."""
 
 
-def free_port():
-    """A port that is free for UDP and TCP, outside the ephemeral range.
-
-    Ephemeral ports are taken by the connections of other tests between this
-    choice and the start of a process.
-    """
-    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
-        first_ephemeral = int(file.read().split()[0])
-    while True:
-        port = random.randrange(LEAST_PORT, first_ephemeral)
-        try:
-            for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
-                with socket.socket(socket.AF_INET, kind) as sock:
-                    sock.bind(("", port))
-        except OSError:
-            continue
-        return port
-
-
 def segment(source, target, flags, seq, ack, data=b""):
     return HEADER.pack(flags, seq, ack, socket.inet_aton(target[0]), source[1],
         target[1], socket.inet_aton(source[0]), len(data), 0, 7) + data
