--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -4,6 +4,8 @@
 #include "../client.h"
 #include "fleet.h"
 
+#define PLUG_STOREVIEW_DEPARTED_MAX 256 /* hosts that have gone lately */
+
 /**
  * struct plug_store_position - position in the history of the store
  * @generation: number of the history: a store that is restored from a copy
@@ -19,7 +21,7 @@
  * struct plug_storeview_list - hosts of one read of the host list
  * @count: length of @hosts
  * @capacity: room in @hosts
- * @hosts: hosts, in the order of their arrival
+ * @hosts: hosts
  */
 struct plug_storeview_list {
 	unsigned int count;
@@ -39,6 +41,16 @@
 	bool consistent;
 };
 
+/**
+ * struct plug_storeview_departed - a host that has gone
+ * @id: hash of its instance id
+ * @started_ms: as in struct plug_fleet_host
+ */
+struct plug_storeview_departed {
+	uint64_t id;
+	uint64_t started_ms;
+};
+
 enum plug_storeview_counter {
 	PLUG_STOREVIEW_IGNORED,	 /* host lists older than the one in force */
 	PLUG_STOREVIEW_RESTORED, /* restores of the store that were seen */
@@ -56,13 +68,19 @@
  * @operators_at: position of the last read of that part
  * @found_count: length of @found
  * @found: those that the pages which are being read have shown
- * @pending: hosts of the pages that are being read
- * @hosts: hosts of the list in force
+ * @pending: hosts of the pages that are being read, in the order of their
+ *   arrival
+ * @hosts: hosts of the list in force, sorted by id
  * @position: position of that list; its revision is 0 before the first one
  * @adopted_at: time of its adoption
  * @consistent_read_at: when the last consistent read began whose list was
  *   adopted; 0 before the first one
  * @failed_at: time of the last read that failed; 0 without one
+ * @restored_at: when a restore of the store was last seen; 0 if never
+ * @unconfirmed: the operators' part was read from a copy that may lack some of
+ *   it; a complete read is due when the store has had time to get it back
+ * @departed_count: hosts that have gone, in all; the last ones are in @departed
+ * @departed: hosts that have gone, the n-th one at index n modulo its length
  * @generation: newest generation of the store that was seen; 0 when it names
  *   none
  * @ignored_since: when the first of the lists was ignored that came after the
@@ -86,6 +104,10 @@
 	plug_time adopted_at;
 	plug_time consistent_read_at;
 	plug_time failed_at;
+	plug_time restored_at;
+	bool unconfirmed;
+	unsigned int departed_count;
+	struct plug_storeview_departed departed[PLUG_STOREVIEW_DEPARTED_MAX];
 	uint64_t generation;
 	plug_time ignored_since;
 	unsigned int ignored_count;
@@ -96,19 +118,19 @@
 void plug_storeview_init(
     struct plug_storeview *view, const struct plug_client *client);
 void plug_storeview_finish(struct plug_storeview *view);
-void plug_storeview_note_generation(
-    struct plug_storeview *view, uint64_t generation, const char *read);
+void plug_storeview_note_generation(struct plug_storeview *view, plug_time now,
+    uint64_t generation, const char *read);
 void plug_storeview_note_failure(struct plug_storeview *view, plug_time now);
 bool plug_storeview_take_config(
     struct plug_storeview *view, struct plug_config *config);
 void plug_storeview_take_domain(
     struct plug_storeview *view, uint32_t domain, bool out);
-bool plug_storeview_next_changes(
-    const struct plug_storeview *view, uint64_t *after_revision);
+plug_time plug_storeview_next_changes(
+    const struct plug_storeview *view, plug_time now, uint64_t *after_revision);
 void plug_storeview_restart_operators(struct plug_storeview *view);
 bool plug_storeview_begin_operators(
     struct plug_storeview *view, uint64_t generation, bool changes);
-void plug_storeview_end_operators(struct plug_storeview *view,
+void plug_storeview_end_operators(struct plug_storeview *view, plug_time now,
     struct plug_store_position position, bool changes);
 void plug_storeview_begin_hosts(struct plug_storeview *view);
 void plug_storeview_add_host(struct plug_storeview *view, plug_time now,
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -6,12 +6,6 @@
 #include "libplantainlug/track/storeview.h"
 #include "storereader.h"
 
-/* An entry learns of changes by a waiting read. A lost answer, or a store that
- * drops its history and tells no waiting read, keeps it waiting
- * for this long and ANSWER_MS, which together stay below the 4 s after which a
- * machine counts as being in touch again. */
-#define CHANGES_WAIT_MS 2500
-
 /* An agent needs little of the configuration: it reads it this often. */
 #define AGENT_PERIOD (60 * PLUG_SEC)
 
@@ -348,15 +342,20 @@
 
 /* Chooses between the changes since the last answer and a complete read. */
 static void
-set_operators_query(struct plug_storereader *reader)
+set_operators_query(struct plug_storereader *reader, plug_time now)
 {
 	struct plug_store_query *query = &reader->operators.query;
+	plug_time wait;
 
 	query->what = PLUG_STORE_OPERATORS;
-	if (reader->handlers.fleet != NULL &&
-	    plug_storeview_next_changes(&reader->view, &query->after_revision))
-		query->what = PLUG_STORE_CHANGES;
-	query->wait_ms = CHANGES_WAIT_MS;
+	if (reader->handlers.fleet == NULL)
+		return;
+	wait = plug_storeview_next_changes(
+	    &reader->view, now, &query->after_revision);
+	if (wait <= 0)
+		return;
+	query->what = PLUG_STORE_CHANGES;
+	query->wait_ms = (unsigned int)((wait + PLUG_MSEC - 1) / PLUG_MSEC);
 }
 
 static void
@@ -370,7 +369,7 @@
 	bool first = part->query.after_key[0] == '\0';
 
 	plug_storeview_note_generation(
-	    &reader->view, part->generation, part_name(part));
+	    &reader->view, now, part->generation, part_name(part));
 	part->due = now;
 	if (changes && answer->status == STATUS_GONE) {
 		plug_client_log(reader->client, PLUG_LOG_INFO,
@@ -386,7 +385,7 @@
 	if (!read_page(part, now, answer, on_operators_item, &page) ||
 	    page.more)
 		return;
-	plug_storeview_end_operators(&reader->view,
+	plug_storeview_end_operators(&reader->view, now,
 	    (struct plug_store_position){
 		part->generation, changes ? page.revision : part->revision },
 	    changes);
@@ -421,7 +420,7 @@
 	struct plug_store_page page;
 
 	plug_storeview_note_generation(
-	    &reader->view, part->generation, part_name(part));
+	    &reader->view, now, part->generation, part_name(part));
 	if (part->query.after_key[0] == '\0')
 		plug_storeview_begin_hosts(&reader->view);
 	part->due = now;
@@ -478,7 +477,7 @@
 	if (!plug_fetch_busy(operators->slot)) {
 		if (operators->due <= now) {
 			if (operators->query.after_key[0] == '\0')
-				set_operators_query(reader);
+				set_operators_query(reader, now);
 			start(operators, now);
 		} else if (operators->due < next) {
 			next = operators->due;
