--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -68,16 +68,24 @@
  * @now: time
  * @generation: generation; 0 when the answer names none
  * @read: kind of the read, for the log
+ *
+ * Return: whether the store was restored, so that a waiting read of changes is
+ * to be given up and the operators' part to be read completely.
  */
-void
+bool
 plug_storeview_note_generation(struct plug_storeview *view, plug_time now,
     uint64_t generation, const char *read)
 {
+	const bool first = view->generation == 0;
+
 	if (generation <= view->generation)
-		return;
-	if (view->generation != 0)
+		return false;
+	if (!first) {
 		note_restored(view, now, read, "generation", generation);
+		view->can_continue = false;
+	}
 	view->generation = generation;
+	return !first;
 }
 
 /**
--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -118,7 +118,7 @@
 void plug_storeview_init(
     struct plug_storeview *view, const struct plug_client *client);
 void plug_storeview_finish(struct plug_storeview *view);
-void plug_storeview_note_generation(struct plug_storeview *view, plug_time now,
+bool plug_storeview_note_generation(struct plug_storeview *view, plug_time now,
     uint64_t generation, const char *read);
 void plug_storeview_note_failure(struct plug_storeview *view, plug_time now);
 bool plug_storeview_take_config(
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -307,6 +307,23 @@
 	return "-";
 }
 
+/* After a restore of the store, the operators' part is read at once: a read
+ * that waits for changes might do so for seconds. */
+static void
+note_generation(struct part *part, plug_time now)
+{
+	struct plug_storereader *reader = part->reader;
+	struct part *operators = &reader->operators;
+
+	if (!plug_storeview_note_generation(
+		&reader->view, now, part->generation, part_name(part)) ||
+	    part == operators)
+		return;
+	plug_fetch_cancel(operators->slot);
+	operators->query.after_key[0] = '\0';
+	operators->due = now;
+}
+
 /* Return: false when the answer can't be used; the part then backs off. */
 static bool
 read_page(struct part *part, plug_time now,
@@ -368,8 +385,7 @@
 	bool changes = part->query.what == PLUG_STORE_CHANGES;
 	bool first = part->query.after_key[0] == '\0';
 
-	plug_storeview_note_generation(
-	    &reader->view, now, part->generation, part_name(part));
+	note_generation(part, now);
 	part->due = now;
 	if (changes && answer->status == STATUS_GONE) {
 		plug_client_log(reader->client, PLUG_LOG_INFO,
@@ -419,8 +435,7 @@
 	struct plug_storeview_read read;
 	struct plug_store_page page;
 
-	plug_storeview_note_generation(
-	    &reader->view, now, part->generation, part_name(part));
+	note_generation(part, now);
 	if (part->query.after_key[0] == '\0')
 		plug_storeview_begin_hosts(&reader->view);
 	part->due = now;
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -267,6 +267,20 @@
 }
 END_TEST
 
+/* Guards against a restore that only the host list shows for seconds, as no
+ * change is written that would end the waiting read. */
+START_TEST(restore_seen_by_another_read_ends_the_wait)
+{
+	uint64_t after;
+
+	read_operators(1, 20, "");
+	ck_assert(!plug_storeview_note_generation(&view, now, 1, "hosts"));
+	ck_assert(plug_storeview_next_changes(&view, now, &after));
+	ck_assert(plug_storeview_note_generation(&view, now, 2, "hosts"));
+	ck_assert(!plug_storeview_next_changes(&view, now, &after));
+}
+END_TEST
+
 /* Guards against the same with a store that names no generation. */
 START_TEST(changes_that_go_back_lead_to_a_complete_read)
 {
@@ -373,6 +387,7 @@
 	tcase_add_test(test, older_config_is_ignored);
 	tcase_add_test(test, complete_read_takes_domains_back);
 	tcase_add_test(test, changes_are_not_continued_across_a_restore);
+	tcase_add_test(test, restore_seen_by_another_read_ends_the_wait);
 	tcase_add_test(test, changes_that_go_back_lead_to_a_complete_read);
 	tcase_add_test(test, restored_copy_takes_no_domain_back);
 	tcase_add_test(test, domain_taken_back_after_a_restore_is_back);
