--- a/net/storereader.c
+++ b/net/storereader.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "libplantainlug/track/backoff.h"
 #include "libplantainlug/track/storeview.h"
 #include "storereader.h"
 
@@ -22,9 +23,6 @@
 /* Exact reads that were asked for are at least this far apart. */
 #define REFRESH_SPACING (100 * PLUG_MSEC)
 
-#define BACKOFF_MIN (100 * PLUG_MSEC)
-#define BACKOFF_MAX PLUG_SEC
-
 #define STATUS_OK   200
 #define STATUS_GONE 410 /* the history that was asked for was dropped */
 
@@ -40,7 +38,7 @@
  * @revision: revision of the first page
  * @generation: generation of the store that the last answer names; 0 when it
  *   names none
- * @failures: failures in a row
+ * @backoff: delays after failures
  */
 struct part {
 	struct plug_storereader *reader;
@@ -50,7 +48,7 @@
 	plug_time began;
 	uint64_t revision;
 	uint64_t generation;
-	unsigned int failures;
+	struct plug_backoff backoff;
 };
 
 /**
@@ -65,7 +63,7 @@
 struct plug_storereader {
 	const struct plug_adapter *adapter;
 	struct plug_endpoint store;
-	const struct plug_client *client;
+	struct plug_client *client;
 	struct plug_storereader_handlers handlers;
 	struct part operators;
 	struct part hosts;
@@ -94,6 +92,7 @@
 
 	part->reader = reader;
 	part->query.what = what;
+	plug_backoff_init(&part->backoff);
 	part->slot = plug_fetch_slot_create(loop, &handlers);
 	return part->slot != NULL;
 }
@@ -111,7 +110,7 @@
 struct plug_storereader *
 plug_storereader_create(const struct plug_adapter *adapter,
     struct plug_endpoint store, struct plug_loop *loop,
-    const struct plug_client *client,
+    struct plug_client *client,
     const struct plug_storereader_handlers *handlers)
 {
 	struct plug_storereader *reader = calloc(1, sizeof(*reader));
@@ -253,36 +252,34 @@
 fail(struct part *part, plug_time now, const char *reason)
 {
 	struct plug_storereader *reader = part->reader;
-	plug_time delay = BACKOFF_MIN;
-
-	for (unsigned int i = 0; i < part->failures && delay < BACKOFF_MAX; i++)
-		delay *= 2;
-	if (delay > BACKOFF_MAX)
-		delay = BACKOFF_MAX;
 	reader->counters[PLUG_STORE_FAILURES]++;
 	plug_storeview_note_failure(&reader->view, now);
-	if (part->failures++ == 0)
+	if (part->backoff.failures == 0)
 		plug_client_log(reader->client, PLUG_LOG_WARN,
 		    "event=store_lost part=%s reason=\"%s\" revision=%llu",
 		    part == &reader->hosts ? "hosts" : "operators", reason,
 		    (unsigned long long)part->revision);
-	part->due = now + delay;
+	part->due = now + plug_backoff_fail(&part->backoff, reader->client);
 	part->query.after_key[0] = '\0';
 	if (part == &reader->hosts && !part->query.may_lag)
 		reader->exact_wanted = true;
 }
 
 static void
-succeeded(struct part *part)
+succeeded(struct part *part, plug_time now)
 {
 	struct plug_storereader *reader = part->reader;
+	struct part *other =
+	    part == &reader->hosts ? &reader->operators : &reader->hosts;
 
-	if (part->failures > 0)
+	if (part->backoff.failures > 0)
 		plug_client_log(reader->client, PLUG_LOG_INFO,
 		    "event=store_back part=%s failures=%u",
 		    part == &reader->hosts ? "hosts" : "operators",
-		    part->failures);
-	part->failures = 0;
+		    part->backoff.failures);
+	plug_backoff_init(&part->backoff);
+	if (plug_backoff_shorten(&other->backoff) && other->due > now)
+		other->due = now;
 }
 
 static void
@@ -347,7 +344,7 @@
 		fail(part, now, status.message);
 		return false;
 	}
-	succeeded(part);
+	succeeded(part, now);
 	if (part->query.after_key[0] == '\0')
 		part->revision = page->revision;
 	part->query.after_key[0] = '\0';
@@ -500,7 +497,7 @@
 	}
 	if (reader->handlers.fleet == NULL || plug_fetch_busy(hosts->slot))
 		return next;
-	if (reader->exact_wanted && hosts->failures == 0 &&
+	if (reader->exact_wanted && hosts->backoff.failures == 0 &&
 	    hosts->due > reader->exact_at + REFRESH_SPACING)
 		hosts->due = reader->exact_at + REFRESH_SPACING;
 	if (hosts->due <= now) {
--- a/net/storereader.h
+++ b/net/storereader.h
@@ -31,7 +31,7 @@
 
 struct plug_storereader *plug_storereader_create(
     const struct plug_adapter *adapter, struct plug_endpoint store,
-    struct plug_loop *loop, const struct plug_client *client,
+    struct plug_loop *loop, struct plug_client *client,
     const struct plug_storereader_handlers *handlers);
 void plug_storereader_destroy(struct plug_storereader *reader);
 void plug_storereader_refresh(struct plug_storereader *reader);
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "libplantainlug/track/backoff.h"
 #include "libplantainlug/track/storeview.h"
 #include "suites.h"
 
@@ -372,6 +373,28 @@
 }
 END_TEST
 
+/* Guards against a part that waits on while the store answers the other one,
+ * and against all processes asking a returned store in the same moment. */
+START_TEST(backoff_ends_when_another_read_is_answered)
+{
+	struct plug_backoff backoff;
+	plug_time delay = 0, first;
+
+	plug_backoff_init(&backoff);
+	ck_assert(!plug_backoff_shorten(&backoff));
+	first = plug_backoff_fail(&backoff, &client);
+	for (unsigned int i = 0; i < 9; i++)
+		delay = plug_backoff_fail(&backoff, &client);
+	ck_assert_int_ge(delay, PLUG_SEC / 2);
+	ck_assert_int_le(delay, PLUG_SEC);
+	ck_assert_int_ne(delay, plug_backoff_fail(&backoff, &client));
+	ck_assert(plug_backoff_shorten(&backoff));
+	ck_assert_uint_eq(backoff.failures, 11);
+	delay = plug_backoff_fail(&backoff, &client);
+	ck_assert_int_le(delay, 2 * first);
+}
+END_TEST
+
 Suite *
 storeview_suite(void)
 {
@@ -394,6 +417,7 @@
 	tcase_add_test(test, restored_copy_removes_no_host);
 	tcase_add_test(test, departed_host_is_not_used_after_a_restore);
 	tcase_add_test(test, list_of_a_restored_copy_is_not_authoritative);
+	tcase_add_test(test, backoff_ends_when_another_read_is_answered);
 	suite_add_tcase(suite, test);
 	return suite;
 }
