--- a/net/storereader.c
+++ b/net/storereader.c
@@ -35,7 +35,7 @@
  * @query: query under way, or the next one
  * @due: time of the next query
  * @began: time when the first page was asked for
- * @revision: revision of the first page
+ * @position: position of the store at the first page
  * @generation: generation of the store that the last answer names; 0 when it
  *   names none
  * @backoff: delays after failures
@@ -46,7 +46,7 @@
 	struct plug_store_query query;
 	plug_time due;
 	plug_time began;
-	uint64_t revision;
+	struct plug_store_position position;
 	uint64_t generation;
 	struct plug_backoff backoff;
 };
@@ -258,7 +258,7 @@
 		plug_client_log(reader->client, PLUG_LOG_WARN,
 		    "event=store_lost part=%s reason=\"%s\" revision=%llu",
 		    part == &reader->hosts ? "hosts" : "operators", reason,
-		    (unsigned long long)part->revision);
+		    (unsigned long long)part->position.revision);
 	part->due = now + plug_backoff_fail(&part->backoff, reader->client);
 	part->query.after_key[0] = '\0';
 	if (part == &reader->hosts && !part->query.may_lag)
@@ -330,6 +330,7 @@
 {
 	struct plug_storereader *reader = part->reader;
 	struct plug_status status;
+	bool first = part->query.after_key[0] == '\0';
 	char reason[64];
 
 	if (answer->status != STATUS_OK) {
@@ -339,14 +340,19 @@
 		return false;
 	}
 	plug_status_init(&status);
+	if (!first && part->generation != part->position.generation) {
+		fail(part, now, "the store was restored between two pages");
+		return false;
+	}
 	if (reader->adapter->read_answer(
 		answer->body, item, reader, page, &status) != PLUG_OK) {
 		fail(part, now, status.message);
 		return false;
 	}
 	succeeded(part, now);
-	if (part->query.after_key[0] == '\0')
-		part->revision = page->revision;
+	if (first)
+		part->position = (struct plug_store_position){ part->generation,
+			page->revision };
 	part->query.after_key[0] = '\0';
 	if (page->more)
 		memcpy(part->query.after_key, page->last_key,
@@ -398,10 +404,8 @@
 	if (!read_page(part, now, answer, on_operators_item, &page) ||
 	    page.more)
 		return;
-	plug_storeview_end_operators(&reader->view, now,
-	    (struct plug_store_position){
-		part->generation, changes ? page.revision : part->revision },
-	    changes);
+	plug_storeview_end_operators(
+	    &reader->view, now, part->position, changes);
 	if (reader->handlers.fleet == NULL)
 		part->due = now + (reader->view.config == NULL ? FIRST_PERIOD
 							       : AGENT_PERIOD);
@@ -443,7 +447,7 @@
 		reader->exact_at = part->began;
 	read = (struct plug_storeview_read){
 		.began = part->began,
-		.position = { part->generation, part->revision },
+		.position = part->position,
 		.consistent = !part->query.may_lag,
 	};
 	if (plug_storeview_end_hosts(&reader->view, now, &read))
--- a/tests/process/restored.py
+++ b/tests/process/restored.py
@@ -31,10 +31,12 @@
 HOSTS_MAX = 12
 LAG_MAX = 0.5        # seconds by which reads that may lag are old
 REWRITE_MAX = 1.5    # seconds until what a restore has lost is written again
+LOST = 2.0           # seconds that the restore between two pages loses
 APPLY = 3.0          # seconds until a change is in force everywhere
 AGREE = 7.0          # the same after an outage, which ends 4 s before
 LOG_LINES = 30       # of each entry, shown after a failure
 PAGE = 3             # items of a page
+START_TRIES = 5
 
 
 class Failed(Exception):
@@ -59,6 +61,7 @@
         self.copies = []    # (time, generation, revision, items)
         self.away = False
         self.refused = set()  # entries that are turned away
+        self.restore_between_pages = False
 
     def write(self, key, value):
         """Writes or, with value None, removes an item; needs the lock."""
@@ -117,8 +120,12 @@
         self.reply(*answer)
 
     def range(self, store, query):
+        lags = query.get("allow-stale") == "1"
+        if store.restore_between_pages and "after" in query:
+            store.restore_between_pages = lags = False
+            store.restore(LOST)
         copy = (0, store.generation, store.revision, store.items)
-        if query.get("allow-stale") == "1":
+        if lags:
             copy = store.copy_of(random.uniform(0, LAG_MAX))
         keys = sorted(key for key in copy[3] if key > query.get("after", "")
             and key.startswith(query["prefix"]))
@@ -247,15 +254,27 @@
     def __init__(self, program, folder, store, index):
         self.name = "entry-%d" % index
         self.path = os.path.join(folder, self.name)
+        self.program = program
+        self.store = serve(store, self.name)
+        # A port may be taken between its choice and the start.
+        for _ in range(START_TRIES):
+            self.start()
+            while self.process.poll() is None:
+                if any(event == "start" for _, event, _ in self.lines()):
+                    return
+                time.sleep(0.02)
+        raise Failed(self.name + " doesn't start")
+
+    def start(self):
         segments, ready, notice = (free_port() for _ in range(3))
         with open(self.path + ".json", "w") as file:
             json.dump({"role": "entry", "name": self.name, "domain": "z",
                 "segments": "127.0.0.1:%d" % segments,
                 "ready": "127.0.0.1:%d" % ready, "notice_port": notice,
-                "store": "127.0.0.4:%d" % serve(store, self.name)}, file)
-        log = open(self.path + ".log", "ab")
-        self.process = subprocess.Popen([program, "tracking-entry", "--config",
-            self.path + ".json"], stderr=log)
+                "store": "127.0.0.4:%d" % self.store}, file)
+        with open(self.path + ".log", "ab") as log:
+            self.process = subprocess.Popen([self.program, "tracking-entry",
+                "--config", self.path + ".json"], stderr=log)
 
     def lines(self):
         """(time, event, fields) of each complete line of the log."""
@@ -380,6 +399,10 @@
                     raise Failed("%s goes back to version %s" %
                         (entry.name, fields["version"]))
                 version = int(fields["version"])
+            elif event == "store_restored":
+                if fields["reason"] != "generation":
+                    raise Failed("%s takes a list for older than it is" %
+                        entry.name)
             elif event in ("domain_back", "host_ready", "host_gone"):
                 for key, value, since, until in periods:
                     name = key.rpartition("/")[2]
@@ -393,9 +416,23 @@
                         raise Failed("%s logs %s of %s, which is wanted" %
                             (entry.name, event, name))
 
+    def restore_between_pages(self):
+        """Guards against a list whose pages are of two histories."""
+        time.sleep(LOST)
+        for _ in range(6):
+            self.writers.change_config()
+        time.sleep(LAG_MAX)
+        self.store.restore_between_pages = True
+        wait_for("restored_between_pages", AGREE,
+            lambda: not self.store.restore_between_pages)
+        self.writers.write_again()
+        time.sleep(LOST)  # a list that is taken for older shows within 1 s
+        wait_for("agreed_after_pages", AGREE, self.agreed)
+
     def run(self, seconds):
         wait_for("ready", AGREE, self.agreed)
         self.learn_hashes()
+        self.restore_between_pages()
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             self.disturb()
