--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -111,6 +111,32 @@
 	plug_report_schedule_all(agent);
 }
 
+/**
+ * plug_track_agent_set_idle_timeout() - take over the timeout of idle flows
+ * @agent: agent
+ * @version: version of the configuration that it is from; ignored unless it is
+ *   newer than the one known
+ * @idle_timeout: timeout
+ *
+ * An agent reads the configuration rarely, and may have read it from an old
+ * copy; entries tell it the timeout with each new flow.
+ */
+void
+plug_track_agent_set_idle_timeout(
+    struct plug_track_agent *agent, uint64_t version, plug_time idle_timeout)
+{
+	if (version <= agent->config_version)
+		return;
+	if (idle_timeout != agent->idle_timeout)
+		plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
+		    "event=idle_timeout version=%llu before=%llu idle_ms=%lld",
+		    (unsigned long long)version,
+		    (unsigned long long)agent->config_version,
+		    (long long)(idle_timeout / PLUG_MSEC));
+	agent->config_version = version;
+	agent->idle_timeout = idle_timeout;
+}
+
 /**
  * plug_track_agent_set_host() - apply a changed result of the health check
  * @agent: agent
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -110,8 +110,9 @@
  * @observed_since: since this time, every segment of the host has passed the
  *   agent and no flow was left out of @flows
  * @all_flows_seen: @flows has had every flow of the host since the host's start
- * @idle_timeout: the configuration's timeout of idle flows; set by the caller
- *   when it changes
+ * @config_version: newest version of the configuration that is known; 0 before
+ *   the first one
+ * @idle_timeout: timeout of idle flows of that version
  * @flows: flows of the host by tuple, see struct plug_host_flow
  * @open_flow_count: flows that are open or opening
  * @running: requests that the host hasn't answered
@@ -140,6 +141,7 @@
 	plug_time ticked_at;
 	plug_time observed_since;
 	bool all_flows_seen;
+	uint64_t config_version;
 	plug_time idle_timeout;
 	struct plug_conntable flows;
 	uint32_t open_flow_count;
@@ -161,6 +163,8 @@
 enum plug_code plug_track_agent_init(struct plug_track_agent *agent,
     struct plug_track_driver *driver, plug_time now);
 void plug_track_agent_finish(struct plug_track_agent *agent);
+void plug_track_agent_set_idle_timeout(
+    struct plug_track_agent *agent, uint64_t version, plug_time idle_timeout);
 void plug_track_agent_set_host(struct plug_track_agent *agent, plug_time now,
     enum plug_host_state state, uint64_t host, bool draining);
 void plug_track_agent_client_segment(struct plug_track_agent *agent,
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -337,6 +337,8 @@
 		agent->counters[PLUG_AGENT_BAD]++;
 		return;
 	}
+	plug_track_agent_set_idle_timeout(
+	    agent, open->version, open->idle_ms * PLUG_MSEC);
 	receiver->last_heard = now;
 	receiver->report_soon = true;
 	flow = plug_conntable_find(&agent->flows, &segment.tuple);
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -195,8 +195,9 @@
     const struct plug_route *route, const struct plug_segment *segment)
 {
 	plug_time left = wait_time_left(flow, route, now);
-	const struct plug_service_config *service = plug_config_find_service(
-	    entry->balance.fleet->config, host->service);
+	const struct plug_config *config = entry->balance.fleet->config;
+	const struct plug_service_config *service =
+	    plug_config_find_service(config, host->service);
 	Plug__TrackNotice notice = PLUG__TRACK_NOTICE__INIT;
 	Plug__Open open = PLUG__OPEN__INIT;
 
@@ -210,6 +211,8 @@
 	open.priority = route->priority;
 	open.aim_ms = (uint32_t)(route->target_latency / PLUG_MSEC);
 	open.aged_ms = (uint32_t)((now - flow->started) / PLUG_MSEC);
+	open.version = config->version;
+	open.idle_ms = (uint32_t)(config->idle_timeout / PLUG_MSEC);
 	open.segment = plug_track_segment_field(segment->bytes);
 	notice.body_case = PLUG__TRACK_NOTICE__BODY_OPEN;
 	notice.open = &open;
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -167,7 +167,7 @@
 	struct trackd *trackd = data;
 	const struct plug_track_message message = {
 		.kind = PLUG_TRACK_IDLE,
-		.idle_timeout = config->idle_timeout,
+		.idle = { config->version, config->idle_timeout },
 	};
 	const struct plug_service_config *backing;
 
--- a/net/tracktraffic.c
+++ b/net/tracktraffic.c
@@ -207,7 +207,8 @@
 			    message->host.draining);
 			break;
 		case PLUG_TRACK_IDLE:
-			traffic->agent.idle_timeout = message->idle_timeout;
+			plug_track_agent_set_idle_timeout(&traffic->agent,
+			    message->idle.version, message->idle.timeout);
 			break;
 		}
 		free(message);
--- a/net/tracktraffic.h
+++ b/net/tracktraffic.h
@@ -23,14 +23,18 @@
  * @kind: selects the member of the union
  * @fleet: snapshot; one reference
  * @host: report of the probe
- * @idle_timeout: idle flows may be forgotten after this time
+ * @idle: idle flows may be forgotten after @timeout, by this version of the
+ *   configuration
  */
 struct plug_track_message {
 	enum plug_track_message_kind kind;
 	union {
 		struct plug_fleet *fleet;
 		struct plug_host_report host;
-		plug_time idle_timeout;
+		struct {
+			uint64_t version;
+			plug_time timeout;
+		} idle;
 	};
 };
 
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -579,7 +579,7 @@
   (ProtobufCMessageInit) plug__tuple__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__open__field_descriptors[9] =
+static const ProtobufCFieldDescriptor plug__open__field_descriptors[11] =
 {
   {
     "host",
@@ -689,6 +689,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Open, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Open, idle_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__open__field_indices_by_name[] = {
   8,   /* field[8] = aged_ms */
@@ -696,15 +720,17 @@
   2,   /* field[2] = cold_milli_per_s */
   1,   /* field[1] = cold_ms */
   0,   /* field[0] = host */
+  10,   /* field[10] = idle_ms */
   6,   /* field[6] = priority */
   3,   /* field[3] = segment */
   4,   /* field[4] = slots */
+  9,   /* field[9] = version */
   5,   /* field[5] = wait_ms */
 };
 static const ProtobufCIntRange plug__open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor plug__open__descriptor =
 {
@@ -714,7 +740,7 @@
   "Plug__Open",
   "plug",
   sizeof(Plug__Open),
-  9,
+  11,
   plug__open__field_descriptors,
   plug__open__field_indices_by_name,
   1,  plug__open__number_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -107,10 +107,18 @@
    * for how long its client has waited
    */
   uint32_t aged_ms;
+  /*
+   * configuration that the entry acts on
+   */
+  uint64_t version;
+  /*
+   * its timeout of idle flows
+   */
+  uint32_t idle_ms;
 };
 #define PLUG__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__open__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -64,6 +64,45 @@
 }
 END_TEST
 
+/* Guards against the reset of a flow that may be idle for longer since a change
+ * of the configuration that its agent has not read yet, or has read from an old
+ * copy. */
+START_TEST(agent_learns_a_longer_idle_timeout_from_entries)
+{
+	world.config_version = 2;
+	world.idle_timeout = 60 * PLUG_SEC;
+	world_adopt_all(&world, true);
+	world_open(&world, 0, 7);
+	world_run(&world, 40 * PLUG_SEC);
+	world_restart_entry(&world, 0);
+	world_data(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	world_adopt_all(&world, true);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against an entry with an older configuration that shortens it again.
+ */
+START_TEST(agent_keeps_the_newest_idle_timeout)
+{
+	unsigned int host;
+
+	world.config_version = 3;
+	world.idle_timeout = 60 * PLUG_SEC;
+	world_adopt(&world, 0, true);
+	world.config_version = 2;
+	world.idle_timeout = 10 * PLUG_SEC;
+	world_adopt(&world, 1, true);
+	host = open_flow();
+	for (uint16_t port = 8; port < 40; port++)
+		world_open(&world, 1, port);
+	ck_assert_int_eq(world.agents[host].idle_timeout, 60 * PLUG_SEC);
+}
+END_TEST
+
 /* Guards against a restarted agent that denies having a flow which its host
  * still has. */
 START_TEST(restarted_agent_keeps_the_flow)
@@ -1210,6 +1249,8 @@
 	tcase_add_checked_fixture(flows, setup, teardown);
 	tcase_add_test(flows, another_entry_finds_the_host);
 	tcase_add_test(flows, restarted_entry_finds_the_host);
+	tcase_add_test(flows, agent_learns_a_longer_idle_timeout_from_entries);
+	tcase_add_test(flows, agent_keeps_the_newest_idle_timeout);
 	tcase_add_test(flows, restarted_agent_keeps_the_flow);
 	tcase_add_test(flows, flows_survive_restart_of_all_processes);
 	tcase_add_test(flows, few_probes_while_the_host_is_unreachable);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -192,6 +192,8 @@
 	world->now = 1000 * PLUG_SEC;
 	world->entry_count = entries;
 	world->host_count = hosts;
+	world->config_version = 1;
+	world->idle_timeout = 15 * PLUG_SEC;
 	for (unsigned int i = 0; i < hosts; i++) {
 		world->hosts[i] = (struct world_host){
 			.id = 100 + i,
@@ -238,8 +240,8 @@
 	struct plug_fleet *fleet;
 	unsigned int count = 0;
 
-	config->version = 1;
-	config->idle_timeout = 15 * PLUG_SEC;
+	config->version = world->config_version;
+	config->idle_timeout = world->idle_timeout;
 	config->services[0].id = WORLD_SERVICE;
 	config->services[0].cold_per_s = world->cold_per_s;
 	if (!world->no_route) {
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -145,6 +145,8 @@
  * @second_weight: weight of WORLD_SECOND_SERVICE in the route in the next
  *   snapshots; the weights of both services sum to 100
  * @far_domain_out: WORLD_FAR_DOMAIN is out of service in the next snapshots
+ * @config_version: version of the configuration of the next snapshots
+ * @idle_timeout: idle timeout in the next snapshots, microseconds
  * @no_route: the next snapshots lack the route
  * @not_authoritative: the host lists of the next snapshots may lack live hosts;
  *   see plug_fleet.authoritative
@@ -172,6 +174,8 @@
 	bool in_second_service[WORLD_HOSTS_MAX];
 	uint32_t second_weight;
 	bool far_domain_out;
+	uint64_t config_version;
+	plug_time idle_timeout;
 	bool no_route;
 	bool not_authoritative;
 };
