--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -168,11 +168,20 @@
 
 /* Whether the store may still lack what a restore has lost. */
 static bool
-is_incomplete(const struct plug_storeview *view, plug_time now)
+lacks_lost_items(const struct plug_storeview *view, plug_time now)
 {
 	return view->restored_at != 0 && now - view->restored_at <= TRUST_AFTER;
 }
 
+/* Whether the host list may lack hosts that live: those that a restore has
+ * lost, and those whose entries lapsed while the store was away. */
+static bool
+lacks_hosts(const struct plug_storeview *view, plug_time now)
+{
+	return lacks_lost_items(view, now) ||
+	       (view->failed_at != 0 && now - view->failed_at <= TRUST_AFTER);
+}
+
 /**
  * plug_storeview_next_changes() - whether to read changes next
  * @view: view
@@ -269,7 +278,7 @@
 {
 	view->can_continue = true;
 	if (!changes) {
-		view->unconfirmed = is_incomplete(view, now);
+		view->unconfirmed = lacks_lost_items(view, now);
 		if (!view->unconfirmed)
 			take_back_missing(view);
 	} else if (position.revision < view->operators_at.revision) {
@@ -374,10 +383,10 @@
 	}
 }
 
-/* Adds what is known to a list that was read from a copy which may lack some of
- * it: hosts don't go, and a host that drains isn't ready again. */
+/* Adds what is known to a list that may lack some of it: hosts don't go, and a
+ * host that drains isn't ready again. */
 static void
-merge_known(struct plug_storeview *view)
+merge_known(struct plug_storeview *view, plug_time now)
 {
 	const unsigned int read_count = view->pending.count;
 	unsigned int i = 0, kept = 0;
@@ -398,7 +407,9 @@
 	}
 	if (kept > 0)
 		plug_client_log(view->client, PLUG_LOG_INFO,
-		    "event=hosts_kept count=%u reason=store_restored", kept);
+		    "event=hosts_kept count=%u reason=%s", kept,
+		    lacks_lost_items(view, now) ? "store_restored"
+						: "store_was_away");
 }
 
 static void
@@ -502,8 +513,8 @@
 	end_ignoring(view, now, position);
 	if (view->restored_at != 0 && now - view->restored_at <= LAPSE_AFTER)
 		mark_departed(view);
-	if (is_incomplete(view, now))
-		merge_known(view);
+	if (lacks_hosts(view, now))
+		merge_known(view, now);
 	if (view->pending.count > 0)
 		qsort(view->pending.hosts, view->pending.count,
 		    sizeof(*view->pending.hosts), compare_ids);
@@ -589,9 +600,7 @@
 	fleet->revision = view->position.revision;
 	fleet->consistent_read_at = view->consistent_read_at;
 	fleet->authoritative =
-	    !plug_built_with(PLUG_MECHANISM_TRUST) ||
-	    ((view->failed_at == 0 || now - view->failed_at > TRUST_AFTER) &&
-		!is_incomplete(view, now));
+	    !plug_built_with(PLUG_MECHANISM_TRUST) || !lacks_hosts(view, now);
 	fleet->out_domain_count = view->out_count;
 	memcpy(fleet->out_domains, view->out, sizeof(fleet->out_domains));
 	return fleet;
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -342,6 +342,24 @@
 }
 END_TEST
 
+/* Guards against requests that no host takes because the entries of all hosts
+ * have lapsed while the store was away. */
+START_TEST(hosts_that_lapsed_in_an_outage_stay)
+{
+	ck_assert(read_hosts(20, true, "a b c-"));
+	plug_storeview_note_failure(&view, now);
+	now += PLUG_SEC;
+	ck_assert(read_hosts(23, false, ""));
+	expect_hosts("a b c-");
+	now += PLUG_SEC;
+	ck_assert(read_hosts(24, false, "a"));
+	expect_hosts("a b c-");
+	now += PLUG_SEC;
+	ck_assert(read_hosts(24, false, "a"));
+	expect_hosts("a");
+}
+END_TEST
+
 /* Guards against new flows at a host that had left, which a copy lists until
  * its entry lapses. */
 START_TEST(departed_host_is_not_used_after_a_restore)
@@ -415,6 +433,7 @@
 	tcase_add_test(test, restored_copy_takes_no_domain_back);
 	tcase_add_test(test, domain_taken_back_after_a_restore_is_back);
 	tcase_add_test(test, restored_copy_removes_no_host);
+	tcase_add_test(test, hosts_that_lapsed_in_an_outage_stay);
 	tcase_add_test(test, departed_host_is_not_used_after_a_restore);
 	tcase_add_test(test, list_of_a_restored_copy_is_not_authoritative);
 	tcase_add_test(test, backoff_ends_when_another_read_is_answered);
