--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -434,6 +434,16 @@
 	};
 }
 
+static void
+note_draining(const struct plug_storeview *view,
+    const struct plug_fleet_host *old, const struct plug_fleet_host *new,
+    struct plug_store_position position)
+{
+	if (new->draining != old->draining)
+		log_host(view, new,
+		    new->draining ? "host_draining" : "host_ready", position);
+}
+
 /* Notes each host that comes, goes, begins to leave or is ready again. */
 static void
 note_changes(struct plug_storeview *view, struct plug_store_position position)
@@ -443,26 +453,17 @@
 	unsigned int i = 0, j = 0;
 
 	while (i < old->count || j < new->count) {
-		const struct plug_fleet_host *before =
-		    i < old->count ? &old->hosts[i] : NULL;
-		const struct plug_fleet_host *now =
-		    j < new->count ? &new->hosts[j] : NULL;
-
-		if (now == NULL || (before != NULL && before->id < now->id)) {
-			log_host(view, before, "host_gone", position);
-			note_departed(view, before);
-			i++;
-		} else if (before == NULL || now->id < before->id) {
-			log_host(view, now, "host_listed", position);
-			j++;
+		if (j == new->count ||
+		    (i < old->count && old->hosts[i].id < new->hosts[j].id)) {
+			log_host(view, &old->hosts[i], "host_gone", position);
+			note_departed(view, &old->hosts[i++]);
+		} else if (i == old->count ||
+			   new->hosts[j].id < old->hosts[i].id) {
+			log_host(
+			    view, &new->hosts[j++], "host_listed", position);
 		} else {
-			if (now->draining != before->draining)
-				log_host(view, now,
-				    now->draining ? "host_draining"
-						  : "host_ready",
-				    position);
-			i++;
-			j++;
+			note_draining(
+			    view, &old->hosts[i++], &new->hosts[j++], position);
 		}
 	}
 }
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -118,8 +118,8 @@
 	char text[TEXT_SIZE] = "";
 	size_t len = 0;
 
-	for (char name = 'a'; name <= 'z'; name++) {
-		const char id[] = { name, '\0' };
+	for (int name = 'a'; name <= 'z'; name++) {
+		const char id[] = { (char)name, '\0' };
 		const struct plug_fleet_host *host = NULL;
 
 		for (unsigned int i = 0; i < view.hosts.count; i++) {
