--- a/cli/explain.c
+++ b/cli/explain.c
@@ -19,6 +19,7 @@
     "       plantainlug explain host NAME --from TIME --to TIME [--json] "
     "[FILE...]\n"
     "       plantainlug explain traffic [--json] [FILE...]\n"
+    "       plantainlug explain store [--to TIME] [--json] [FILE...]\n"
     "FILE is a log, or - for standard input, which is the default.\n"
     "TIME is in UTC, as 2026-01-31T12:00:00Z.\n"
     "Exit codes: 0 answered, 1 nothing found or a log can't be opened, "
@@ -187,6 +188,14 @@
 		*used = 1;
 		return !times;
 	}
+	if (strcmp(kind, "store") == 0) {
+		query->kind = PLUG_EXPLAIN_STORE;
+		*used = 1;
+		return from->count == 0 &&
+		       (to->count == 0 ||
+			   plug_logline_time(
+			       plug_str_from(to->sval[0]), &query->to));
+	}
 	if (words->count < 2)
 		return false;
 	if (strcmp(kind, "flow") == 0) {
@@ -219,11 +228,11 @@
 	struct arg_str *from =
 	    arg_str0(NULL, "from", "TIME", "first time, for host");
 	struct arg_str *to =
-	    arg_str0(NULL, "to", "TIME", "last time, for host");
+	    arg_str0(NULL, "to", "TIME", "last time, for host and store");
 	struct arg_str *words = arg_strn(NULL, NULL, "WORD", 1, FILES_MAX + 2,
 	    "flow ID [FILE...] (of a tracked flow, IP:PORT-IP:PORT of client "
-	    "and service), host NAME [FILE...] or traffic [FILE...]; "
-	    "FILE - is standard input");
+	    "and service), host NAME [FILE...], traffic [FILE...] or store "
+	    "[FILE...]; FILE - is standard input");
 	void *table[] = { json, from, to, words, arg_end(8) };
 	struct plug_explain_query query = { 0 };
 	int result, used;
--- a/libplantainlug/explain.c
+++ b/libplantainlug/explain.c
@@ -123,6 +123,8 @@
 		return plug_explain_traffic_feed(explain, line);
 	case PLUG_EXPLAIN_TRACKED:
 		return plug_explain_tracked_feed(explain, line);
+	case PLUG_EXPLAIN_STORE:
+		return plug_explain_store_feed(explain, line);
 	}
 	return false;
 }
@@ -216,6 +218,9 @@
 	case PLUG_EXPLAIN_TRACKED:
 		found = plug_explain_tracked_report(explain, output);
 		break;
+	case PLUG_EXPLAIN_STORE:
+		found = plug_explain_store_report(explain, output);
+		break;
 	}
 	if (explain->unreadable > 0)
 		plug_explain_row(output, "event=unreadable lines=%llu",
--- a/libplantainlug/explain.h
+++ b/libplantainlug/explain.h
@@ -9,6 +9,7 @@
 	PLUG_EXPLAIN_HOST,    /* what made a host hot */
 	PLUG_EXPLAIN_TRAFFIC, /* bytes between failure domains */
 	PLUG_EXPLAIN_TRACKED, /* the same as FLOW, in the tracking mode */
+	PLUG_EXPLAIN_STORE,   /* where entries differ about the store */
 };
 
 /**
@@ -18,7 +19,7 @@
  * @tuple: addresses and ports of a tracked flow, as logs have them
  * @host: name of an agent
  * @from: first time of interest, microseconds since 1970
- * @to: last time of interest
+ * @to: last time of interest; for PLUG_EXPLAIN_STORE 0 for the end of the logs
  */
 struct plug_explain_query {
 	enum plug_explain_kind kind;
--- a/libplantainlug/explain_internal.h
+++ b/libplantainlug/explain_internal.h
@@ -54,6 +54,8 @@
     struct plug_explain *explain, const struct plug_logline *line);
 bool plug_explain_tracked_feed(
     struct plug_explain *explain, const struct plug_logline *line);
+bool plug_explain_store_feed(
+    struct plug_explain *explain, const struct plug_logline *line);
 
 /* Each returns whether the logs hold anything on the question. */
 bool plug_explain_flow_report(const struct plug_explain *explain,
@@ -64,5 +66,7 @@
     const struct plug_explain_output *output);
 bool plug_explain_tracked_report(const struct plug_explain *explain,
     const struct plug_explain_output *output);
+bool plug_explain_store_report(const struct plug_explain *explain,
+    const struct plug_explain_output *output);
 
 #endif
--- a/tests/fuzz/explain.c
+++ b/tests/fuzz/explain.c
@@ -17,14 +17,18 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	struct plug_explain_query query = {
-		.flow = 0xa1, .host = "a", .to = INT64_MAX
+		.flow = 0xa1,
+		.tuple = "1.2.3.4:5-6.7.8.9:10",
+		.host = "a",
+		.to = INT64_MAX,
 	};
 	const struct plug_explain_output output = { ignore_row, NULL };
 	struct plug_explain *explain;
 
 	if (size == 0)
 		return 0;
-	query.kind = (enum plug_explain_kind)(data[0] % 3);
+	query.kind =
+	    (enum plug_explain_kind)(data[0] % (PLUG_EXPLAIN_STORE + 1));
 	explain = plug_explain_create(&query);
 	if (explain == NULL)
 		return 0;
