--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -344,17 +344,16 @@
 	return x->id < y->id ? -1 : 1;
 }
 
-static bool
-has_departed(
-    const struct plug_storeview *view, const struct plug_fleet_host *host)
+static struct plug_storeview_departed *
+find_departed(struct plug_storeview *view, const struct plug_fleet_host *host)
 {
 	for (unsigned int i = 0;
 	     i < view->departed_count && i < PLUG_STOREVIEW_DEPARTED_MAX; i++) {
 		if (view->departed[i].id == host->id &&
 		    view->departed[i].started_ms == host->started_ms)
-			return true;
+			return &view->departed[i];
 	}
-	return false;
+	return NULL;
 }
 
 /* Keeps what is known of a host where the copy is older. */
@@ -378,7 +377,7 @@
 	for (unsigned int i = 0; i < view->pending.count; i++) {
 		struct plug_fleet_host *host = &view->pending.hosts[i];
 
-		if (has_departed(view, host))
+		if (find_departed(view, host) != NULL)
 			host->draining = true;
 	}
 }
@@ -423,25 +422,49 @@
 }
 
 static void
-note_departed(struct plug_storeview *view, const struct plug_fleet_host *host)
+note_departed(struct plug_storeview *view, const struct plug_fleet_host *host,
+    struct plug_store_position position)
 {
 	const unsigned int i =
 	    view->departed_count++ % PLUG_STOREVIEW_DEPARTED_MAX;
 
+	log_host(view, host, "host_gone", position);
 	view->departed[i] = (struct plug_storeview_departed){
 		.id = host->id,
 		.started_ms = host->started_ms,
 	};
 }
 
+/* A host that is in use again hasn't gone. */
+static void
+forget_departed(struct plug_storeview *view, const struct plug_fleet_host *host)
+{
+	struct plug_storeview_departed *departed;
+
+	if (host->draining)
+		return;
+	departed = find_departed(view, host);
+	if (departed != NULL)
+		*departed = (struct plug_storeview_departed){ 0 };
+}
+
 static void
-note_draining(const struct plug_storeview *view,
-    const struct plug_fleet_host *old, const struct plug_fleet_host *new,
+note_listed(struct plug_storeview *view, const struct plug_fleet_host *host,
     struct plug_store_position position)
 {
-	if (new->draining != old->draining)
-		log_host(view, new,
-		    new->draining ? "host_draining" : "host_ready", position);
+	log_host(view, host, "host_listed", position);
+	forget_departed(view, host);
+}
+
+static void
+note_state(struct plug_storeview *view, const struct plug_fleet_host *old,
+    const struct plug_fleet_host *new, struct plug_store_position position)
+{
+	if (new->draining == old->draining)
+		return;
+	log_host(view, new, new->draining ? "host_draining" : "host_ready",
+	    position);
+	forget_departed(view, new);
 }
 
 /* Notes each host that comes, goes, begins to leave or is ready again. */
@@ -454,17 +477,13 @@
 
 	while (i < old->count || j < new->count) {
 		if (j == new->count ||
-		    (i < old->count && old->hosts[i].id < new->hosts[j].id)) {
-			log_host(view, &old->hosts[i], "host_gone", position);
-			note_departed(view, &old->hosts[i++]);
-		} else if (i == old->count ||
-			   new->hosts[j].id < old->hosts[i].id) {
-			log_host(
-			    view, &new->hosts[j++], "host_listed", position);
-		} else {
-			note_draining(
+		    (i < old->count && old->hosts[i].id < new->hosts[j].id))
+			note_departed(view, &old->hosts[i++], position);
+		else if (i == old->count || new->hosts[j].id < old->hosts[i].id)
+			note_listed(view, &new->hosts[j++], position);
+		else
+			note_state(
 			    view, &old->hosts[i++], &new->hosts[j++], position);
-		}
 	}
 }
 
--- a/tests/process/restored.py
+++ b/tests/process/restored.py
@@ -3,12 +3,13 @@
 The store is in this process, the entries are real ones. Operators change the
 configuration, take domains out and back; hosts come, begin to leave and go. The
 store is away, refuses single entries, is restored from a copy of some seconds
-before, and gets back what was lost only after a while. Guards against entries
+before, and gets back what was lost only after a while. Entries are killed and
+started again, stand still, or get a SIGHUP meanwhile. Guards against entries
 that believe something else than the store says afterwards, and against what
-was confirmed being undone meanwhile. Prints one line for each step and exits
-with 1 when a check fails.
+was confirmed being undone. Prints one line for each step and exits with 1 when
+a check fails.
 
-usage: restored.py PROGRAM SEED SECONDS
+usage: restored.py PROGRAM SEED SECONDS [ENTRIES]
 """
 
 import base64
@@ -18,6 +19,7 @@
 import os
 import random
 import re
+import signal
 import subprocess
 import sys
 import tempfile
@@ -26,7 +28,7 @@
 
 from ports import free_port
 
-ENTRIES = 4
+ENTRIES = 4          # unless the command line tells
 DOMAINS = ("north", "south", "east")
 HOSTS_MAX = 12
 LAG_MAX = 0.5        # seconds by which reads that may lag are old
@@ -37,6 +39,7 @@
 LOG_LINES = 30       # of each entry, shown after a failure
 PAGE = 3             # items of a page
 START_TRIES = 5
+STOP_MAX = 1.0       # seconds for which an entry stands still
 
 
 class Failed(Exception):
@@ -256,16 +259,29 @@
         self.path = os.path.join(folder, self.name)
         self.program = program
         self.store = serve(store, self.name)
+        self.start()
+
+    def start(self):
         # A port may be taken between its choice and the start.
         for _ in range(START_TRIES):
-            self.start()
+            before = self.starts()
+            self.spawn()
             while self.process.poll() is None:
-                if any(event == "start" for _, event, _ in self.lines()):
+                if self.starts() > before:
                     return
                 time.sleep(0.02)
         raise Failed(self.name + " doesn't start")
 
-    def start(self):
+    def starts(self):
+        if not os.path.exists(self.path + ".log"):
+            return 0
+        return sum(event == "start" for _, event, _ in self.lines())
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def spawn(self):
         segments, ready, notice = (free_port() for _ in range(3))
         with open(self.path + ".json", "w") as file:
             json.dump({"role": "entry", "name": self.name, "domain": "z",
@@ -291,7 +307,9 @@
         """Version, domains out and hosts that the log leads to."""
         version, out, hosts = 0, set(), {}
         for _, event, fields in self.lines():
-            if event == "config_adopted":
+            if event == "start":
+                version, out, hosts = 0, set(), {}
+            elif event == "config_adopted":
                 version = int(fields["version"])
             elif event == "domain_out":
                 out.add(fields["domain"])
@@ -305,10 +323,14 @@
 
 
     def generation(self):
-        """Generation of the last restore that the log shows, or None."""
-        generations = [int(fields["generation"])
-            for _, event, fields in self.lines() if event == "store_restored"]
-        return generations[-1] if generations else None
+        """Generation of the last restore since the last start, or None."""
+        generation = None
+        for _, event, fields in self.lines():
+            if event == "start":
+                generation = None
+            elif event == "store_restored":
+                generation = int(fields["generation"])
+        return generation
 
 
 def wait_for(what, seconds, condition):
@@ -323,7 +345,7 @@
 
 
 class Play:
-    def __init__(self, program, folder, seed):
+    def __init__(self, program, folder, seed, entries):
         self.random = random.Random(seed)
         self.store = Store()
         self.writers = Writers(self.store, self.random)
@@ -332,7 +354,7 @@
             self.writers.add_host()
         self.hashes = {}
         self.entries = [Entry(program, folder, self.store, i)
-            for i in range(ENTRIES)]
+            for i in range(entries)]
 
     def agreed(self):
         """Whether all entries believe what the store says."""
@@ -372,10 +394,26 @@
         time.sleep(later)
         self.writers.write_again()
 
+    def disturb_entry(self):
+        entry = self.random.choice(self.entries)
+        how = self.random.choice(("kill", "stop", "reload"))
+        step(what=how, name=entry.name)
+        if how == "kill":
+            entry.kill()
+            entry.start()
+        elif how == "stop":
+            entry.process.send_signal(signal.SIGSTOP)
+            time.sleep(self.random.uniform(0, STOP_MAX))
+            entry.process.send_signal(signal.SIGCONT)
+        else:
+            entry.process.send_signal(signal.SIGHUP)
+
     def disturb(self):
         what = self.random.random()
         if what < 0.08:
             self.restore()
+        elif what < 0.13:
+            self.disturb_entry()
         elif what < 0.2:
             names = [entry.name for entry in self.entries]
             self.store.refused = set(self.random.sample(names,
@@ -394,7 +432,9 @@
             for key, (value, since) in self.writers.periods.items()]
         version = 0
         for at, event, fields in entry.lines():
-            if event == "config_adopted":
+            if event == "start":
+                version = 0
+            elif event == "config_adopted":
                 if int(fields["version"]) < version:
                     raise Failed("%s goes back to version %s" %
                         (entry.name, fields["version"]))
@@ -442,7 +482,7 @@
         wait_for("agreed", AGREE, self.agreed)
         for entry in self.entries:
             self.check_confirmed(entry)
-            if entry.generation() is None:
+            if entry.generation() is None and entry.starts() == 1:
                 raise Failed(entry.name + " logs no store_restored")
             step(what="checked", name=entry.name,
                 generation=entry.generation(), lines=len(list(entry.lines())))
@@ -457,14 +497,14 @@
 
     def stop(self):
         for entry in self.entries:
-            entry.process.kill()
-            entry.process.wait()
+            entry.kill()
 
 
 def main():
     program, seed, seconds = sys.argv[1], int(sys.argv[2]), float(sys.argv[3])
+    entries = int(sys.argv[4]) if len(sys.argv) > 4 else ENTRIES
     with tempfile.TemporaryDirectory(prefix="plantainlug-") as folder:
-        play = Play(os.path.abspath(program), folder, seed)
+        play = Play(os.path.abspath(program), folder, seed, entries)
         step(what="start", seed=seed)
         try:
             play.run(seconds)
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -377,6 +377,18 @@
 }
 END_TEST
 
+/* Guards against hosts that get no new flows after a restore because they had
+ * been gone for a while long before. */
+START_TEST(returned_host_stays_in_use_after_a_restore)
+{
+	ck_assert(read_hosts_of(1, 20, true, "a b"));
+	ck_assert(read_hosts_of(1, 21, true, "a"));
+	ck_assert(read_hosts_of(1, 22, true, "a b"));
+	ck_assert(read_hosts_of(2, 12, false, "a b"));
+	expect_hosts("a b");
+}
+END_TEST
+
 /* Guards against a flow reset because a copy doesn't list its host yet. */
 START_TEST(list_of_a_restored_copy_is_not_authoritative)
 {
@@ -435,6 +447,7 @@
 	tcase_add_test(test, restored_copy_removes_no_host);
 	tcase_add_test(test, hosts_that_lapsed_in_an_outage_stay);
 	tcase_add_test(test, departed_host_is_not_used_after_a_restore);
+	tcase_add_test(test, returned_host_stays_in_use_after_a_restore);
 	tcase_add_test(test, list_of_a_restored_copy_is_not_authoritative);
 	tcase_add_test(test, backoff_ends_when_another_read_is_answered);
 	suite_add_tcase(suite, test);
