--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -63,8 +63,8 @@
  * @config: configuration in force; NULL before the first one
  * @out_count: length of @out
  * @out: hashes of the domains that are out of service
- * @can_continue: the operators' part is known up to @operators_at, so that its
- *   changes will do
+ * @changes_suffice: the operators' part is known up to @operators_at, so that
+ *   its changes are read next, not the complete part
  * @operators_at: position of the last read of that part
  * @found_count: length of @found
  * @found: those that the pages which are being read have shown
@@ -77,8 +77,9 @@
  *   adopted; 0 before the first one
  * @failed_at: time of the last read that failed; 0 without one
  * @restored_at: when a restore of the store was last seen; 0 if never
- * @unconfirmed: the operators' part was read from a copy that may lack some of
- *   it; a complete read is due when the store has had time to get it back
+ * @operators_unconfirmed: the operators' part was read from a copy that may
+ *   lack some of it; a complete read is due when the store has had time to get
+ *   it back
  * @departed_count: hosts that have gone, in all; the last ones are in @departed
  * @departed: hosts that have gone, the n-th one at index n modulo its length
  * @generation: newest generation of the store that was seen; 0 when it names
@@ -94,7 +95,7 @@
 	struct plug_config *config;
 	unsigned int out_count;
 	uint32_t out[PLUG_DOMAINS_OUT_MAX];
-	bool can_continue;
+	bool changes_suffice;
 	struct plug_store_position operators_at;
 	unsigned int found_count;
 	uint32_t found[PLUG_DOMAINS_OUT_MAX];
@@ -105,7 +106,7 @@
 	plug_time consistent_read_at;
 	plug_time failed_at;
 	plug_time restored_at;
-	bool unconfirmed;
+	bool operators_unconfirmed;
 	unsigned int departed_count;
 	struct plug_storeview_departed departed[PLUG_STOREVIEW_DEPARTED_MAX];
 	uint64_t generation;
