--- a/net/storereader.c
+++ b/net/storereader.c
@@ -20,7 +20,8 @@
 /* Reads of the host list that may lag cost a tenth of an exact one. */
 #define HOSTS_PERIOD (700 * PLUG_MSEC)
 
-/* Exact reads that were asked for are at least this far apart. */
+/* Exact reads that were asked for, and reads that follow an answer which can't
+ * be used, are at least this far apart. */
 #define REFRESH_SPACING (100 * PLUG_MSEC)
 
 #define STATUS_OK   200
@@ -252,6 +253,7 @@
 fail(struct part *part, plug_time now, const char *reason)
 {
 	struct plug_storereader *reader = part->reader;
+
 	reader->counters[PLUG_STORE_FAILURES]++;
 	plug_storeview_note_failure(&reader->view, now);
 	if (part->backoff.failures == 0)
@@ -389,7 +391,7 @@
 	bool first = part->query.after_key[0] == '\0';
 
 	note_generation(part, now);
-	part->due = now;
+	part->due = part->began + REFRESH_SPACING;
 	if (changes && answer->status == STATUS_GONE) {
 		plug_client_log(reader->client, PLUG_LOG_INFO,
 		    "event=store_history_dropped after=%llu",
@@ -401,6 +403,7 @@
 	    !plug_storeview_begin_operators(
 		&reader->view, part->generation, changes))
 		return;
+	part->due = now;
 	if (!read_page(part, now, answer, on_operators_item, &page) ||
 	    page.more)
 		return;
