--- a/libplantainlug/track/fleet.c
+++ b/libplantainlug/track/fleet.c
@@ -226,8 +226,13 @@
 	free(fleet);
 }
 
-static int
-compare_by_id(const void *a, const void *b)
+/**
+ * plug_fleet_host_compare() - order of hosts by id, for qsort() and bsearch()
+ * @a: host
+ * @b: host
+ */
+int
+plug_fleet_host_compare(const void *a, const void *b)
 {
 	const struct plug_fleet_host *x = a, *y = b;
 
@@ -287,7 +292,7 @@
 	}
 	list_agents(fleet);
 	qsort(fleet->hosts, fleet->host_count, sizeof(*fleet->hosts),
-	    compare_by_id);
+	    plug_fleet_host_compare);
 }
 
 /**
@@ -305,7 +310,7 @@
 	if (fleet == NULL)
 		return NULL;
 	return bsearch(&key, fleet->hosts, fleet->host_count,
-	    sizeof(*fleet->hosts), compare_by_id);
+	    sizeof(*fleet->hosts), plug_fleet_host_compare);
 }
 
 /**
--- a/libplantainlug/track/fleet.h
+++ b/libplantainlug/track/fleet.h
@@ -166,6 +166,7 @@
 struct plug_fleet *plug_fleet_reference(struct plug_fleet *fleet);
 void plug_fleet_release(struct plug_fleet *fleet);
 void plug_fleet_complete(struct plug_fleet *fleet);
+int plug_fleet_host_compare(const void *a, const void *b);
 const struct plug_fleet_host *
 plug_fleet_find_host(const struct plug_fleet *fleet, uint64_t id);
 bool plug_fleet_domain_is_out(const struct plug_fleet *fleet, uint32_t domain);
--- a/libplantainlug/track/storeview_hosts.c
+++ b/libplantainlug/track/storeview_hosts.c
@@ -60,16 +60,6 @@
 		added->cold_until += now;
 }
 
-static int
-compare_ids(const void *a, const void *b)
-{
-	const struct plug_fleet_host *x = a, *y = b;
-
-	if (x->id == y->id)
-		return 0;
-	return x->id < y->id ? -1 : 1;
-}
-
 static struct plug_storeview_departed *
 find_departed(struct plug_storeview *view, const struct plug_fleet_host *host)
 {
@@ -118,7 +108,7 @@
 
 	if (read_count > 0)
 		qsort(view->pending.hosts, read_count,
-		    sizeof(*view->pending.hosts), compare_ids);
+		    sizeof(*view->pending.hosts), plug_fleet_host_compare);
 	for (unsigned int j = 0; j < view->hosts.count; j++) {
 		const struct plug_fleet_host *known = &view->hosts.hosts[j];
 
@@ -263,7 +253,7 @@
 		merge_known(view, now);
 	if (view->pending.count > 0)
 		qsort(view->pending.hosts, view->pending.count,
-		    sizeof(*view->pending.hosts), compare_ids);
+		    sizeof(*view->pending.hosts), plug_fleet_host_compare);
 	note_changes(view, position);
 	view->hosts = view->pending;
 	view->position = position;
