--- a/tests/process/restored.py
+++ b/tests/process/restored.py
@@ -35,7 +35,8 @@
 REWRITE_MAX = 1.5    # seconds until what a restore has lost is written again
 LOST = 2.0           # seconds that the restore between two pages loses
 APPLY = 3.0          # seconds until a change is in force everywhere
-AGREE = 7.0          # the same after an outage, which ends 4 s before
+AGREE = 7.0          # the same from the end of an outage: 4 s more until the
+                     # store counts as stable
 LOG_LINES = 30       # of each entry, shown after a failure
 PAGE = 3             # items of a page
 START_TRIES = 5
@@ -321,7 +322,6 @@
                 hosts[fields["host"]] = fields["draining"] == "1"
         return version, out, hosts
 
-
     def generation(self):
         """Generation of the last restore since the last start, or None."""
         generation = None
@@ -346,15 +346,17 @@
 
 class Play:
     def __init__(self, program, folder, seed, entries):
+        self.program = program
+        self.folder = folder
+        self.entry_count = entries
+        self.entries = []
         self.random = random.Random(seed)
         self.store = Store()
         self.writers = Writers(self.store, self.random)
         self.writers.change_config()
         for _ in range(6):
             self.writers.add_host()
-        self.hashes = {}
-        self.entries = [Entry(program, folder, self.store, i)
-            for i in range(entries)]
+        self.hashes = {}  # of the domains' names, as logs show them
 
     def agreed(self):
         """Whether all entries believe what the store says."""
@@ -470,6 +472,9 @@
         wait_for("agreed_after_pages", AGREE, self.agreed)
 
     def run(self, seconds):
+        for i in range(self.entry_count):
+            self.entries.append(
+                Entry(self.program, self.folder, self.store, i))
         wait_for("ready", AGREE, self.agreed)
         self.learn_hashes()
         self.restore_between_pages()
