--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,10 +9,10 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
+sys.path.insert(0, os.path.dirname(HERE))
 import world as w  # noqa: E402
 
-BOOKS, NUMBERS = ("198.18.0.2", 8443), ("198.18.0.1", 8080)
+BOOKS, NUMBERS = ("127.198.0.2", 8443), ("127.198.0.1", 8080)
 ALLOWED = {BOOKS: "book-export", NUMBERS: "numbering"}
 REUSE_AFTER = 2.6   # seconds; the pages: reuse-after-s 2
 REUSE_SOONEST = 2.0
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 # be read by the interpreter that will run them.
 set -eu
 cd "$(dirname "$0")"
-for file in standins/*.py [1-5]/*.py; do
+for file in *.py [1-5]/*.py; do
 	[ -e "$file" ] || continue
 	python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/standins/world.py
+++ b/review/world.py
@@ -22,8 +22,7 @@
 import time
 import zlib
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
-    os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HEADER = struct.Struct(">BII4sHH4sHII")
 SYN, RST, FIN, ACK, BOUNCED = 1, 2, 4, 16, 32
 SUM_KEY = b"known to clients and hosts only"
@@ -33,7 +32,8 @@
 SYN_COPIES = (0.2, 0.6)  # times of the copies of a SYN
 SYN_END = 1.4            # end of the attempt
 RETRANSMIT = 0.2         # first interval; doubles up to 1.6 s
-LIMIT = 112              # seconds for a whole run
+LIMIT = 112              # seconds for a whole run, all plays together
+STARTED = time.monotonic()
 
 
 class CannotRun(Exception):
@@ -77,6 +77,21 @@
         pass  # a process that is down refuses datagrams
 
 
+def free_port(candidates, used):
+    """A port that nothing uses on any address, over TCP or UDP."""
+    for port in random.sample(candidates, len(candidates)):
+        if port in used:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            continue
+    raise CannotRun("no free port")
+
+
 class World:
     def __init__(self, folder):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -92,9 +107,11 @@
         self.hosts = []
         self.violations = []
         names = ("datagram", "ready", "outbound", "app", "store")
-        ports = random.sample(range(20000, 32000), len(names))
-        self.ports = dict(zip(names, ports))
-        self.notice_port = self.free_udp_port()
+        self.ports = {}
+        for name in names:
+            self.ports[name] = free_port(range(20000, 32000),
+                self.ports.values())
+        self.notice_port = free_port(range(7720, 7735), ())
         self.record("trouble=%d" % self.trouble)
 
     # record
@@ -111,10 +128,6 @@
 
     # addresses
 
-    def free_udp_port(self):
-        port = random.randint(7720, 7734)
-        return port
-
     def address(self):
         self.next_address += 1
         return self.net + str(self.next_address)
@@ -772,8 +785,12 @@
     world.record("play=%s" % play.__name__)
 
     async def run():
+        task = asyncio.create_task(play(world))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            await asyncio.wait_for(play(world), LIMIT)
+            await asyncio.wait_for(task,
+                LIMIT - (time.monotonic() - STARTED))
         finally:
             await world.finish()
 
@@ -781,7 +798,8 @@
     try:
         asyncio.run(run())
         code = 1 if world.violations else 0
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError,
+            asyncio.CancelledError) as error:
         world.record("cannot run: %r" % error)
         print("reason=%r" % error)
     finally:
