--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import world as w  # noqa: E402
 
-BOOKS, NUMBERS = ("127.198.0.2", 8443), ("127.198.0.1", 8080)
+BOOKS, NUMBERS = w.BOOKS, w.NUMBERS
 ALLOWED = {BOOKS: "book-export", NUMBERS: "numbering"}
 REUSE_AFTER = 2.6   # seconds; the pages: reuse-after-s 2
 REUSE_SOONEST = 2.0
@@ -20,35 +20,11 @@
 
 
 async def deploy(world):
-    """Two hosts of one service in two zones, one of another, two entries."""
-    store = w.Store(world)
-    await store.begin()
-    router = w.Router(world)
-    clients = w.Clients(world, router)
-    await clients.begin()
-    await store.put("op/config", w.config(7, [
-        w.route(BOOKS, "download", 3000, 500, 2, "book-export"),
-        w.route(NUMBERS, "non_idempotent", 600, 150, 1, "numbering")],
+    deployment = w.Deployment(world)
+    await deployment.begin(w.config(7, w.routes(),
         ("book-export", "numbering")))
-    hosts = []
-    for name, zone, service in (("side-bkk-a-1", "bkk-a", "book-export"),
-            ("side-bkk-b-1", "bkk-b", "book-export"),
-            ("side-bkk-a-2", "bkk-a", "numbering")):
-        machine = w.Machine(world, name, zone)
-        await machine.begin()
-        hosts.append(w.Host(machine, service,
-            work=0.005 if service == "book-export" else 0.02))
-        await machine.run(hosts[-1])
-        await world.start("agent", name, zone, machine.ip, service)
-    for i in (1, 2):
-        ip = world.address()
-        router.add(ip)
-        await world.start("entry", "front-bkk-a-%d" % i, "bkk-a", ip)
-    world.tasks.append(asyncio.create_task(router.run()))
-    await w.until("entries are ready", lambda: len(router.in_rotation()) == 2,
-        10)
-    await asyncio.sleep(2)
-    return clients, hosts
+    old = deployment.host_of("book-export")
+    return deployment.clients, deployment.hosts, old
 
 
 def judge(world, clients, hosts):
@@ -66,14 +42,13 @@
 
 async def machine_stays(world):
     """The host falls silent (dark); its machine and agent go on."""
-    clients, hosts = await deploy(world)
+    clients, hosts, old = await deploy(world)
     end = world.now() + 18
     world.tasks.append(asyncio.create_task(
         clients.load(BOOKS, 10, 3.0, "book", end)))
     world.tasks.append(asyncio.create_task(
         clients.load(NUMBERS, 5, 0.6, "number", end)))
     await asyncio.sleep(5)
-    old = hosts[0]
     if world.trouble:
         # A second after a health check, of which there is one every 2 s.
         seen = old.checked_at
@@ -92,13 +67,12 @@
 
 async def machine_goes(world):
     """The host and its machine end (side); a new one takes the address."""
-    clients, hosts = await deploy(world)
+    clients, hosts, old = await deploy(world)
     world.tasks.append(asyncio.create_task(
         clients.load(NUMBERS, 5, 0.6, "number", world.now() + 12)))
     for _ in range(4):
         await clients.fresh(BOOKS, 3.0, "book")
         await asyncio.sleep(1)
-    old = hosts[0]
     if world.trouble:
         world.record("machine of host %s (book-export) ends" % old.id)
         old.machine.stop()
@@ -113,7 +87,7 @@
             "numbering")
     await asyncio.sleep(0.15)
     await asyncio.gather(*(clients.fresh(BOOKS, 3.0, "book")
-        for _ in range(3)))
+        for _ in range(6)))
     await asyncio.sleep(5)
     judge(world, clients, hosts)
 
