--- a/review/world.py
+++ b/review/world.py
@@ -196,7 +196,10 @@
             if process.returncode is None:
                 process.kill()
         for process in self.processes.values():
-            await process.wait()
+            try:
+                await asyncio.wait_for(process.wait(), 3)
+            except asyncio.TimeoutError:
+                self.record("no end reported of pid %d" % process.pid)
 
     def close(self):
         self.record("--- last lines of the logs of the processes")
