Log which host an admitted SYN was meant for

A run in which a host got SYNs of another service (review/1) shows neither which host the entry had chosen nor the state in which the agent handed the SYN over, and copies of a SYN aren't logged at all, so that the queue, an old health check and copies can't be told apart.

open_admitted has the chosen host and the host's state; open_repeated is logged for a copy of a SYN that goes to the host. The fields are appended, so that explain reads old and new lines alike.

--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -187,6 +187,39 @@
 		refuse_waiter(agent, waiter, refused.reason);
 }
 
+static const char *
+host_state_name(enum plug_host_state state)
+{
+	switch (state) {
+	case PLUG_HOST_UNKNOWN:
+		return "unknown";
+	case PLUG_HOST_UP:
+		return "up";
+	case PLUG_HOST_REFUSING:
+		return "refusing";
+	case PLUG_HOST_DOWN:
+		return "down";
+	}
+	return "-";
+}
+
+/* Logs that a SYN goes to the host, and the host that its entry chose. */
+static void
+log_handed_syn(const struct plug_track_agent *agent, const char *event,
+    const struct plug_tuple *tuple, uint64_t chosen, const char *reason)
+{
+	char text[PLUG_TUPLE_TEXT];
+
+	(void)plug_tuple_format(tuple, text, sizeof(text));
+	plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
+	    "event=%s flow=%s reason=%s host=%016llx flows=%u running=%u "
+	    "opening=%u waiting=%u chosen=%016llx state=%s",
+	    event, text, reason, (unsigned long long)agent->host,
+	    agent->open_flow_count, agent->running, agent->opening,
+	    agent->admission.waiter_count, (unsigned long long)chosen,
+	    host_state_name(agent->host_state));
+}
+
 /* Adds a flow to the table and hands its SYN to the host. */
 static void
 admit(struct plug_track_agent *agent, plug_time now,
@@ -203,8 +236,8 @@
 	flow->handed_at = now;
 	plug_host_flow_account(agent, flow, 1);
 	agent->counters[PLUG_AGENT_ADMITTED]++;
-	plug_host_flow_log(
-	    agent, PLUG_LOG_INFO, "open_admitted", &waiter->tuple, "room");
+	log_handed_syn(
+	    agent, "open_admitted", &waiter->tuple, waiter->host, "room");
 	plug_intake_hand_to_host(agent, now, &segment);
 }
 
@@ -345,6 +378,8 @@
 	if (flow != NULL && flow->state != PLUG_HOST_FLOW_PROBED &&
 	    !plug_host_flow_is_closed(flow)) {
 		flow->entry = from;
+		log_handed_syn(agent, "open_repeated", &segment.tuple,
+		    open->host, "copy");
 		plug_intake_hand_to_host(agent, now, &segment);
 		return;
 	}
