Hand a SYN only to a host that can't have been replaced

Others got no answer at all while the silent host's agent went on handing it their SYNs.

Cause: an agent takes the host of the last answered health check for the one at the address now. That answer is up to 2 s old, 3 s with a check under way, and an address may be taken over 2 s after its host ended. Ruled out: the entries, which name the old host until its entry lapses, as the agent is told which host they mean; the lookup of flows, which sends no SYN.

Change: the agent keeps the time at which its host is known to have run, the start of an answered health check or the time before which all segments of the host had been read, and hands over a SYN, or a copy, only within three quarters of the time for which the platform holds an address. After that, new flows wait and request a health check at once, and copies go back to their entry. Waiters are refused before they are admitted. The clock is read for each datagram. The hold comes from the setting address_reuse_s, from the platform where it tells it.

Why this works: another host can't be at the address before the hold is over, so that within it the SYN reaches the host that the entry chose.

Tests: eight in test_track.

--- a/libplantainlug/track/action.h
+++ b/libplantainlug/track/action.h
@@ -12,6 +12,7 @@
 	PLUG_TRACK_RESET,	  /* send a RST to the client of a flow */
 	PLUG_TRACK_NOTICE,	  /* send a notice to a node */
 	PLUG_TRACK_REFRESH_HOSTS, /* request a consistent host list read */
+	PLUG_TRACK_CHECK_HOST,	  /* request a health check of the own host */
 };
 
 /**
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -48,15 +48,19 @@
  * @agent: agent to initialize
  * @driver: handlers; must outlive the agent
  * @now: current time
+ * @address_hold: shortest time from the end of a host to the start of another
+ *   one at its address, microseconds
  *
  * Return: PLUG_OK or PLUG_E_MEMORY.
  */
 enum plug_code
 plug_track_agent_init(struct plug_track_agent *agent,
-    struct plug_track_driver *driver, plug_time now)
+    struct plug_track_driver *driver, plug_time now, plug_time address_hold)
 {
 	*agent = (struct plug_track_agent){
 		.driver = driver,
+		.address_hold = address_hold,
+		.host_drained_at = now,
 		.observed_since = now,
 		.ticked_at = now,
 		.idle_timeout = IDLE_TIMEOUT_DEFAULT,
@@ -137,35 +141,43 @@
 	agent->idle_timeout = idle_timeout;
 }
 
+static bool
+is_change(
+    const struct plug_track_agent *agent, const struct plug_host_report *report)
+{
+	return report->state != agent->host_state ||
+	       (report->state == PLUG_HOST_UP &&
+		   (report->host != agent->host ||
+		       report->draining != agent->draining));
+}
+
 /**
- * plug_track_agent_set_host() - apply a changed result of the health check
+ * plug_track_agent_set_host() - apply a result of the health check
  * @agent: agent
  * @now: current time
- * @state: state of the host, except PLUG_HOST_DOWN, which the agent detects
- *   itself
- * @host: hash of the host's instance id; only used with PLUG_HOST_UP
- * @draining: the health check says that the host is leaving; only used with
- *   PLUG_HOST_UP
+ * @report: result; each answer of the host is one, also if nothing has changed
  *
  * A host that is up counts as new if its id differs from the previous host's,
  * if the state before was PLUG_HOST_DOWN, or if there was no host yet and the
  * state before was PLUG_HOST_REFUSING. For a new host, drops all flows, resets
  * the recorded failures and regards the table of flows as complete.
  *
- * Schedules a report to every entry and admits or refuses waiting flows. After
- * PLUG_HOST_DOWN, PLUG_HOST_REFUSING is ignored.
+ * A change schedules a report to every entry. Waiting flows are refused or
+ * admitted. After PLUG_HOST_DOWN, PLUG_HOST_REFUSING is ignored.
  */
 void
 plug_track_agent_set_host(struct plug_track_agent *agent, plug_time now,
-    enum plug_host_state state, uint64_t host, bool draining)
+    const struct plug_host_report *report)
 {
 	bool was_refusing = agent->host_state == PLUG_HOST_DOWN ||
 			    agent->host_state == PLUG_HOST_REFUSING;
 	bool is_new =
 	    agent->host_state == PLUG_HOST_DOWN ||
-	    (agent->host != host && (agent->host != 0 || was_refusing));
+	    (agent->host != report->host && (agent->host != 0 || was_refusing));
+	bool changed = is_change(agent, report);
 
-	switch (state) {
+	agent->check_requested = false;
+	switch (report->state) {
 	case PLUG_HOST_UNKNOWN:
 		break;
 	case PLUG_HOST_REFUSING:
@@ -180,14 +192,30 @@
 			agent->failures = (struct plug_failures){ 0 };
 			agent->reported_failing = false;
 		}
-		agent->host = host;
-		agent->draining = draining;
+		if (agent->host != report->host ||
+		    report->checked_at > agent->host_seen_at)
+			agent->host_seen_at = report->checked_at;
+		agent->host = report->host;
+		agent->draining = report->draining;
 		break;
 	}
-	agent->host_state = state;
-	plug_report_schedule_all(agent);
-	plug_intake_admit(agent, now);
+	agent->host_state = report->state;
+	if (changed)
+		plug_report_schedule_all(agent);
+	/* The waiters may be for the previous host. */
 	plug_intake_refuse_waiters(agent, now);
+	plug_intake_admit(agent, now);
+}
+
+/**
+ * plug_track_agent_host_drained() - note that no segment of the host is unread
+ * @agent: agent
+ * @at: time at which there was none
+ */
+void
+plug_track_agent_host_drained(struct plug_track_agent *agent, plug_time at)
+{
+	agent->host_drained_at = at;
 }
 
 /* Number of answers that a live host would have given since it last sent a
@@ -281,6 +309,12 @@
 	const bool reset = (segment->flags & PLUG_SEGMENT_RST) != 0;
 	const bool new_data = has_new_data(flow, segment);
 
+	if (plug_segment_opens_flow(segment) &&
+	    !plug_intake_is_host_certain(agent, now)) {
+		plug_host_flow_log(agent, PLUG_LOG_INFO, "syn_dropped",
+		    &segment->tuple, "host_uncertain");
+		return;
+	}
 	plug_conntable_touch(&agent->flows, &flow->conn, now);
 	if ((fin || reset) && flow->request_running && !flow->client_fin &&
 	    !flow->host_fin && now - flow->handed_at >= GIVEN_UP_TIME)
@@ -392,6 +426,9 @@
 {
 	bool probed = flow->state == PLUG_HOST_FLOW_PROBED;
 
+	/* Only the host that got the flow's SYN sends segments of it. */
+	if (agent->host_drained_at > agent->host_seen_at)
+		agent->host_seen_at = agent->host_drained_at;
 	flow->unanswered_since = 0;
 	plug_host_flow_account(agent, flow, -1);
 	if ((segment->flags & PLUG_SEGMENT_SYN) != 0) {
@@ -570,6 +607,7 @@
 		[PLUG_AGENT_RESETS] = "resets",
 		[PLUG_AGENT_FAILED] = "failed",
 		[PLUG_AGENT_PROBES] = "probes",
+		[PLUG_AGENT_CHECKS] = "checks_awaited",
 	};
 
 	return names[counter];
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -19,6 +19,23 @@
 	PLUG_HOST_DOWN,	    /* refuses connections and answers no segment */
 };
 
+/**
+ * struct plug_host_report - result of a health check
+ * @state: state of the host, except PLUG_HOST_DOWN, which the agent detects
+ *   itself
+ * @host: hash of the host's instance id; only set with PLUG_HOST_UP
+ * @draining: the health check says that the host is leaving; only set with
+ *   PLUG_HOST_UP
+ * @checked_at: when the health check began that the host has answered; only set
+ *   with PLUG_HOST_UP
+ */
+struct plug_host_report {
+	enum plug_host_state state;
+	uint64_t host;
+	bool draining;
+	plug_time checked_at;
+};
+
 enum plug_host_flow_state {
 	PLUG_HOST_FLOW_OPENING, /* SYN handed to the host */
 	PLUG_HOST_FLOW_OPEN,	/* the host has sent more than its SYN+ACK */
@@ -95,6 +112,7 @@
 	PLUG_AGENT_FAILED,    /* requests that the host did not answer */
 	/* Segments that probed whether the host holds their flow. */
 	PLUG_AGENT_PROBES,
+	PLUG_AGENT_CHECKS, /* health checks that new flows had to wait for */
 	PLUG_AGENT_COUNTERS,
 };
 
@@ -104,6 +122,13 @@
  * @host_state: see enum plug_host_state
  * @host: hash of the host's instance id; 0 while unknown
  * @draining: the health check says that the host is leaving
+ * @address_hold: shortest time from the end of a host to the start of another
+ *   one at its address
+ * @host_seen_at: latest time at which @host is known to have run; 0 if there is
+ *   none
+ * @host_drained_at: segments that the host sent before this time have been
+ *   handled
+ * @check_requested: a health check was requested that hasn't been reported yet
  * @unanswered_since: time of the first segment handed to the host since it last
  *   sent one, moved later by pauses of the agent; 0 if there is none
  * @ticked_at: time of the last plug_track_agent_tick()
@@ -137,6 +162,10 @@
 	enum plug_host_state host_state;
 	uint64_t host;
 	bool draining;
+	plug_time address_hold;
+	plug_time host_seen_at;
+	plug_time host_drained_at;
+	bool check_requested;
 	plug_time unanswered_since;
 	plug_time ticked_at;
 	plug_time observed_since;
@@ -161,12 +190,14 @@
 };
 
 enum plug_code plug_track_agent_init(struct plug_track_agent *agent,
-    struct plug_track_driver *driver, plug_time now);
+    struct plug_track_driver *driver, plug_time now, plug_time address_hold);
 void plug_track_agent_finish(struct plug_track_agent *agent);
 void plug_track_agent_set_idle_timeout(
     struct plug_track_agent *agent, uint64_t version, plug_time idle_timeout);
 void plug_track_agent_set_host(struct plug_track_agent *agent, plug_time now,
-    enum plug_host_state state, uint64_t host, bool draining);
+    const struct plug_host_report *report);
+void
+plug_track_agent_host_drained(struct plug_track_agent *agent, plug_time at);
 void plug_track_agent_client_segment(struct plug_track_agent *agent,
     plug_time now, uint32_t from, const struct plug_segment *segment);
 void plug_track_agent_host_segment(struct plug_track_agent *agent,
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -18,6 +18,11 @@
 #define REQUEST_WAIT_MIN     (10 * PLUG_MSEC)
 #define REQUEST_WAIT_MAX     (500 * PLUG_MSEC)
 
+/* The host has surely not been replaced while it was last seen less than this
+ * fraction of the address hold ago. The rest covers the time until a SYN that
+ * is handed over arrives. */
+#define SEEN_FRACTION 0.75
+
 /* Load of the host; the result borrows from the agent. */
 static struct plug_host_workload
 load_of(const struct plug_track_agent *agent)
@@ -116,6 +121,52 @@
 	free(waiter);
 }
 
+/* Milliseconds since the host was last seen; -1 if it never was. */
+static long long
+seen_ms(const struct plug_track_agent *agent, plug_time now)
+{
+	return agent->host_seen_at == 0
+		   ? -1
+		   : (long long)((now - agent->host_seen_at) / PLUG_MSEC);
+}
+
+/**
+ * plug_intake_is_host_certain() - whether no other host can have replaced the
+ * agent's host yet
+ * @agent: agent
+ * @now: current time
+ *
+ * A host that falls silent doesn't close the connection of the health check,
+ * and the next host at its address takes any SYN, also one for the route of
+ * another service. A SYN must not be handed over while this is false.
+ */
+bool
+plug_intake_is_host_certain(const struct plug_track_agent *agent, plug_time now)
+{
+	return agent->host_seen_at != 0 &&
+	       (double)(now - agent->host_seen_at) <
+		   SEEN_FRACTION * (double)agent->address_hold;
+}
+
+/* Requests a health check, unless one was requested that isn't over. */
+static void
+request_check(struct plug_track_agent *agent, plug_time now)
+{
+	static const struct plug_track_action check = {
+		.kind = PLUG_TRACK_CHECK_HOST,
+	};
+
+	if (agent->check_requested)
+		return;
+	agent->check_requested = true;
+	agent->counters[PLUG_AGENT_CHECKS]++;
+	plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
+	    "event=host_uncertain host=%016llx seen_ms=%lld waiting=%u",
+	    (unsigned long long)agent->host, seen_ms(agent, now),
+	    agent->admission.waiter_count);
+	plug_track_emit(agent->driver, &check);
+}
+
 /* Why a new flow for a host can be admitted neither now nor later; UNSPECIFIED
  * if it may be admitted. */
 static Plug__RefusalReason
@@ -205,19 +256,20 @@
 
 /* Logs that a SYN goes to the host, and the host that its entry chose. */
 static void
-log_handed_syn(const struct plug_track_agent *agent, const char *event,
-    const struct plug_tuple *tuple, uint64_t chosen, const char *reason)
+log_handed_syn(const struct plug_track_agent *agent, plug_time now,
+    const char *event, const struct plug_tuple *tuple, uint64_t chosen,
+    const char *reason)
 {
 	char text[PLUG_TUPLE_TEXT];
 
 	(void)plug_tuple_format(tuple, text, sizeof(text));
 	plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
 	    "event=%s flow=%s reason=%s host=%016llx flows=%u running=%u "
-	    "opening=%u waiting=%u chosen=%016llx state=%s",
+	    "opening=%u waiting=%u chosen=%016llx state=%s seen_ms=%lld",
 	    event, text, reason, (unsigned long long)agent->host,
 	    agent->open_flow_count, agent->running, agent->opening,
 	    agent->admission.waiter_count, (unsigned long long)chosen,
-	    host_state_name(agent->host_state));
+	    host_state_name(agent->host_state), seen_ms(agent, now));
 }
 
 /* Adds a flow to the table and hands its SYN to the host. */
@@ -237,7 +289,7 @@
 	plug_host_flow_account(agent, flow, 1);
 	agent->counters[PLUG_AGENT_ADMITTED]++;
 	log_handed_syn(
-	    agent, "open_admitted", &waiter->tuple, waiter->host, "room");
+	    agent, now, "open_admitted", &waiter->tuple, waiter->host, "room");
 	plug_intake_hand_to_host(agent, now, &segment);
 }
 
@@ -245,12 +297,20 @@
  * plug_intake_admit() - hand new flows to the host while it has room
  * @agent: agent
  * @now: current time
+ *
+ * If another host may have replaced it since it was last seen, requests a
+ * health check instead.
  */
 void
 plug_intake_admit(struct plug_track_agent *agent, plug_time now)
 {
-	while (agent->admission.first != NULL &&
-	       agent->host_state == PLUG_HOST_UP) {
+	if (agent->admission.first == NULL || agent->host_state != PLUG_HOST_UP)
+		return;
+	if (!plug_intake_is_host_certain(agent, now)) {
+		request_check(agent, now);
+		return;
+	}
+	while (agent->admission.first != NULL) {
 		const struct plug_host_workload load = load_of(agent);
 		struct plug_waiter *waiter =
 		    plug_admission_dequeue(&agent->admission, now, &load);
@@ -346,6 +406,25 @@
 		agent->counters[PLUG_AGENT_QUEUED]++;
 }
 
+/* Handles a copy of a SYN that the host has got before. If another host may
+ * have replaced it since, the entry tries another one. */
+static void
+handle_copy(struct plug_track_agent *agent, plug_time now, uint32_t from,
+    const Plug__Open *open, struct plug_host_flow *flow,
+    const struct plug_segment *segment)
+{
+	if (!plug_intake_is_host_certain(agent, now)) {
+		request_check(agent, now);
+		plug_intake_send_refusal(agent, from, open->host, segment,
+		    PLUG__REFUSAL_REASON__OTHER_HOST);
+		return;
+	}
+	flow->entry = from;
+	log_handed_syn(
+	    agent, now, "open_repeated", &segment->tuple, open->host, "copy");
+	plug_intake_hand_to_host(agent, now, segment);
+}
+
 /**
  * plug_intake_handle_open() - handle a new flow from an entry
  * @agent: agent
@@ -377,10 +456,7 @@
 	flow = plug_conntable_find(&agent->flows, &segment.tuple);
 	if (flow != NULL && flow->state != PLUG_HOST_FLOW_PROBED &&
 	    !plug_host_flow_is_closed(flow)) {
-		flow->entry = from;
-		log_handed_syn(agent, "open_repeated", &segment.tuple,
-		    open->host, "copy");
-		plug_intake_hand_to_host(agent, now, &segment);
+		handle_copy(agent, now, from, open, flow, &segment);
 		return;
 	}
 	if (flow != NULL)
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -27,6 +27,8 @@
  * flow to the host */
 void plug_intake_handle_open(struct plug_track_agent *agent, plug_time now,
     uint32_t from, const Plug__Open *open);
+bool plug_intake_is_host_certain(
+    const struct plug_track_agent *agent, plug_time now);
 void plug_intake_start_request(
     struct plug_track_agent *agent, plug_time now, struct plug_host_flow *flow);
 void plug_intake_admit(struct plug_track_agent *agent, plug_time now);
--- a/libplantainlug/track/agent_lookup.c
+++ b/libplantainlug/track/agent_lookup.c
@@ -151,6 +151,7 @@
 		return true;
 	if (!plug_track_decode_segment(
 		agent->driver, &question->segment, &segment) ||
+	    plug_segment_opens_flow(&segment) ||
 	    !plug_tuple_equal(&segment.tuple, &tuple)) {
 		agent->counters[PLUG_AGENT_BAD]++;
 		return false;
--- a/libplantainlug/track/settings.c
+++ b/libplantainlug/track/settings.c
@@ -4,6 +4,11 @@
 #include "../jsonread.h"
 #include "settings.h"
 
+/* Seconds, for a platform that doesn't tell. A shorter time only costs more
+ * health checks. */
+#define ADDRESS_REUSE_DEFAULT 1.0
+#define ADDRESS_REUSE_MAX     86400.0
+
 #define FIELD(key, type, member)       \
 	.name = (key), .kind = (type), \
 	.offset = offsetof(struct plug_track_settings, member)
@@ -40,12 +45,15 @@
 		    .optional = true },
 		{ FIELD("host", PLUG_JSON_ENDPOINT, host), .optional = true },
 		{ FIELD("service", PLUG_JSON_NAME, service), .optional = true },
+		{ FIELD("address_reuse_s", PLUG_JSON_REAL, address_reuse_s),
+		    .optional = true, .max = ADDRESS_REUSE_MAX },
 	};
 	struct plug_json json;
 	enum plug_code code;
 
 	memset(settings, 0, sizeof(*settings));
 	settings->log_level = PLUG_LOG_INFO;
+	settings->address_reuse_s = ADDRESS_REUSE_DEFAULT;
 	code = plug_json_open(&json, text, PLUG_DOCUMENT_SIZE_MAX, status);
 	if (code != PLUG_OK)
 		return code;
--- a/libplantainlug/track/settings.h
+++ b/libplantainlug/track/settings.h
@@ -20,6 +20,8 @@
  * @host: address of the host, UDP for segments and TCP for health checks; set
  *   for an agent only
  * @service: name of the service of an agent's host; empty if not set
+ * @address_reuse_s: shortest time in seconds from the end of a host to the
+ * start of another one at its address
  */
 struct plug_track_settings {
 	enum plug_role role;
@@ -33,6 +35,7 @@
 	struct plug_endpoint host_output;
 	struct plug_endpoint host;
 	char service[PLUG_NAME_SIZE];
+	double address_reuse_s;
 };
 
 enum plug_code plug_track_settings_parse(struct plug_str text,
--- a/net/hostprobe.c
+++ b/net/hostprobe.c
@@ -38,19 +38,23 @@
 	return "refusing";
 }
 
+/* Hands on an answer of the host or another change; logs changes only. */
 static void
-change(struct plug_hostprobe *probe, const struct plug_host_report *report,
+hand_on(struct plug_hostprobe *probe, const struct plug_host_report *report,
     const char *reason)
 {
-	if (report->state == probe->last.state &&
-	    report->host == probe->last.host &&
-	    report->draining == probe->last.draining)
+	bool changed = report->state != probe->last.state ||
+		       report->host != probe->last.host ||
+		       report->draining != probe->last.draining;
+
+	if (changed)
+		plug_client_log(probe->client, PLUG_LOG_INFO,
+		    "event=host_%s host=%s before=%s draining=%d reason=\"%s\"",
+		    state_name(report->state),
+		    probe->health.name[0] != '\0' ? probe->health.name : "-",
+		    state_name(probe->last.state), report->draining, reason);
+	if (!changed && report->checked_at == probe->last.checked_at)
 		return;
-	plug_client_log(probe->client, PLUG_LOG_INFO,
-	    "event=host_%s host=%s before=%s draining=%d reason=\"%s\"",
-	    state_name(report->state),
-	    probe->health.name[0] != '\0' ? probe->health.name : "-",
-	    state_name(probe->last.state), report->draining, reason);
 	probe->last = *report;
 	probe->report(probe->data, report);
 }
@@ -69,6 +73,7 @@
 		report.state = PLUG_HOST_UP;
 		report.host = probe->health.host;
 		report.draining = answer->status != STATUS_HEALTHY;
+		report.checked_at = probe->started_at;
 		reason = "answer";
 	} else if (answer->refused) {
 		report.state = PLUG_HOST_REFUSING;
@@ -78,7 +83,7 @@
 	} else {
 		probe->due = now + REFUSED_PERIOD;
 	}
-	change(probe, &report, reason);
+	hand_on(probe, &report, reason);
 }
 
 /**
@@ -88,7 +93,7 @@
  * @host: its address
  * @loop: loop of the calling thread
  * @client: log handler; kept by the caller
- * @report: receives each change
+ * @report: receives each answer of the host and each other change
  * @data: first argument of @report
  *
  * Return: false when memory ran out.
@@ -129,6 +134,16 @@
 	plug_fetch_slot_destroy(probe->slot);
 }
 
+/**
+ * plug_hostprobe_request() - check as soon as no check is under way
+ * @probe: probe
+ */
+void
+plug_hostprobe_request(struct plug_hostprobe *probe)
+{
+	probe->requested = true;
+}
+
 /**
  * plug_hostprobe_path() - set the path of the health check
  * @probe: probe
@@ -160,15 +175,17 @@
 	if (probe->last.state == PLUG_HOST_UP && !probe->last.draining &&
 	    plug_fetch_closed(probe->slot)) {
 		report.state = PLUG_HOST_UNKNOWN;
-		change(probe, &report, "the connection has ended");
+		hand_on(probe, &report, "the connection has ended");
 		probe->due = now;
 	}
-	if (probe->due > now)
+	if (probe->due > now && !probe->requested)
 		return probe->due;
 	(void)plug_endpoint_format(probe->host, address, sizeof(address));
 	(void)snprintf(url, sizeof(url), "http://%s%s", address, probe->path);
 	probe->health = (struct plug_health){ 0 };
 	probe->checks++;
+	probe->requested = false;
+	probe->started_at = now;
 	if (!plug_fetch_start(probe->slot, url, ANSWER_MS))
 		probe->due = now + CHECK_PERIOD;
 	return now + PLUG_SEC;
--- a/net/hostprobe.h
+++ b/net/hostprobe.h
@@ -5,18 +5,6 @@
 #include "fetch.h"
 #include "libplantainlug/track/agent.h"
 
-/**
- * struct plug_host_report - what a probe has found
- * @state: whether the host runs
- * @host: hash of its instance id, for PLUG_HOST_UP
- * @draining: its health check fails
- */
-struct plug_host_report {
-	enum plug_host_state state;
-	uint64_t host;
-	bool draining;
-};
-
 /**
  * struct plug_hostprobe - health checks of the host beside an agent
  * @adapter: how the host speaks
@@ -24,9 +12,11 @@
  * @path: path of its health check
  * @slot: the GET and the kept connection, which ends with the host
  * @client: log handler
- * @report: receives each change
+ * @report: receives each answer of the host and each other change
  * @data: first argument of @report
  * @due: time of the next check
+ * @requested: the next check is wanted as soon as none is under way
+ * @started_at: start of the last check
  * @health: header of the answer under way
  * @last: last report
  * @unanswered: checks in a row that got no answer
@@ -41,6 +31,8 @@
 	void (*report)(void *data, const struct plug_host_report *report);
 	void *data;
 	plug_time due;
+	bool requested;
+	plug_time started_at;
 	struct plug_health health;
 	struct plug_host_report last;
 	unsigned int unanswered;
@@ -53,6 +45,7 @@
     void (*report)(void *data, const struct plug_host_report *report),
     void *data);
 void plug_hostprobe_finish(struct plug_hostprobe *probe);
+void plug_hostprobe_request(struct plug_hostprobe *probe);
 void plug_hostprobe_path(struct plug_hostprobe *probe, const char *path);
 plug_time plug_hostprobe_step(struct plug_hostprobe *probe, plug_time now);
 
--- a/net/trackd.c
+++ b/net/trackd.c
@@ -304,7 +304,11 @@
 		next = earlier(next, trackd->leave_at);
 	plug_loop_wait(trackd->loop, next - now);
 	(void)eventfd_read(trackd->wake, &value);
-	if (atomic_exchange(&trackd->traffic.refresh, false))
+	if (!atomic_exchange(&trackd->traffic.refresh, false))
+		return;
+	if (is_agent(trackd))
+		plug_hostprobe_request(&trackd->probe);
+	else
 		plug_storereader_refresh(trackd->reader);
 }
 
--- a/net/tracktraffic.c
+++ b/net/tracktraffic.c
@@ -16,6 +16,10 @@
 #define DATAGRAM_SIZE  2048	 /* bytes, above any valid size */
 #define RESET_SIZE     64	 /* bytes, above the header's size */
 
+/* Seconds; a health check must be answered well within this time, as no flow
+ * could be admitted otherwise. */
+#define ADDRESS_HOLD_MIN 0.1
+
 static void
 send_to(struct plug_tracktraffic *traffic, int fd, uint32_t address,
     uint16_t port, const void *data, size_t len)
@@ -93,6 +97,7 @@
 		send_notice(traffic, action->node, action->notice);
 		return;
 	case PLUG_TRACK_REFRESH_HOSTS:
+	case PLUG_TRACK_CHECK_HOST:
 		atomic_store(&traffic->refresh, true);
 		(void)eventfd_write(traffic->wake, 1);
 		return;
@@ -163,7 +168,9 @@
 	plug__track_notice__free_unpacked(notice, NULL);
 }
 
-static void
+/* Handles up to BATCH datagrams of a socket. Return: a time before which all
+ * that has been sent was read, or 0 if datagrams may be left. */
+static plug_time
 receive(struct plug_tracktraffic *traffic, int fd,
     void (*handle)(struct plug_tracktraffic *traffic, plug_time now,
 	uint32_t from, struct plug_str bytes))
@@ -181,11 +188,23 @@
 			/* A host that is down refuses datagrams. */
 			if (errno == ECONNREFUSED)
 				continue;
-			return;
+			return now;
 		}
+		/* The process may have been paused since the last one. */
+		now = plug_clock_now();
 		handle(traffic, now, ntohl(from.sin_addr.s_addr),
 		    (struct plug_str){ buf, (size_t)n });
 	}
+	return 0;
+}
+
+static void
+receive_output(struct plug_tracktraffic *traffic)
+{
+	plug_time drained = receive(traffic, traffic->output, handle_output);
+
+	if (drained != 0)
+		plug_track_agent_host_drained(&traffic->agent, drained);
 }
 
 static void
@@ -202,9 +221,8 @@
 			    &traffic->entry, now, message->fleet);
 			break;
 		case PLUG_TRACK_HOST:
-			plug_track_agent_set_host(&traffic->agent, now,
-			    message->host.state, message->host.host,
-			    message->host.draining);
+			plug_track_agent_set_host(
+			    &traffic->agent, now, &message->host);
 			break;
 		case PLUG_TRACK_IDLE:
 			plug_track_agent_set_idle_timeout(&traffic->agent,
@@ -256,6 +274,7 @@
 run(void *data)
 {
 	struct plug_tracktraffic *traffic = data;
+	const bool is_agent = traffic->settings->role == PLUG_ROLE_AGENT;
 	plug_time next = 0;
 
 	while (
@@ -267,22 +286,27 @@
 			{ .fd = traffic->output, .events = POLLIN },
 		};
 		plug_time now = plug_clock_now();
+		int ready;
 
 		if (now >= next) {
 			next = tick(traffic, now);
 			copy_counts(traffic);
 		}
-		if (poll(fds, sizeof(fds) / sizeof(fds[0]),
-			wait_ms(next, now)) <= 0)
+		ready =
+		    poll(fds, sizeof(fds) / sizeof(fds[0]), wait_ms(next, now));
+		if (is_agent && ready >= 0 && fds[3].revents == 0)
+			plug_track_agent_host_drained(&traffic->agent, now);
+		if (ready <= 0)
 			continue;
 		if (fds[0].revents != 0)
 			take_messages(traffic);
 		if (fds[3].revents != 0)
-			receive(traffic, traffic->output, handle_output);
+			receive_output(traffic);
 		if (fds[2].revents != 0)
-			receive(traffic, traffic->notices, handle_notice);
+			(void)receive(traffic, traffic->notices, handle_notice);
 		if (fds[1].revents != 0)
-			receive(traffic, traffic->segments, handle_segment);
+			(void)receive(
+			    traffic, traffic->segments, handle_segment);
 		/* Lookups and reports that have begun set an earlier time. */
 		now = plug_clock_now();
 		if (next > now) {
@@ -350,6 +374,16 @@
 	}
 }
 
+static plug_time
+address_hold(const struct plug_track_settings *settings)
+{
+	double seconds = settings->address_reuse_s;
+
+	return (plug_time)((seconds > ADDRESS_HOLD_MIN ? seconds
+						       : ADDRESS_HOLD_MIN) *
+			   (double)PLUG_SEC);
+}
+
 static enum plug_code
 init_role(struct plug_tracktraffic *traffic)
 {
@@ -358,8 +392,8 @@
 	if (traffic->settings->role == PLUG_ROLE_ENTRY)
 		return plug_track_entry_init(&traffic->entry, &traffic->driver,
 		    plug_domain_hash(plug_str_from(domain)));
-	return plug_track_agent_init(
-	    &traffic->agent, &traffic->driver, plug_clock_now());
+	return plug_track_agent_init(&traffic->agent, &traffic->driver,
+	    plug_clock_now(), address_hold(traffic->settings));
 }
 
 static void
--- a/net/tracktraffic.h
+++ b/net/tracktraffic.h
@@ -14,7 +14,7 @@
 
 enum plug_track_message_kind {
 	PLUG_TRACK_FLEET, /* a new snapshot */
-	PLUG_TRACK_HOST,  /* a probe has found something new */
+	PLUG_TRACK_HOST,  /* result of a health check */
 	PLUG_TRACK_IDLE,  /* the configured idle timeout */
 };
 
@@ -61,7 +61,8 @@
  * @entry: decisions of an entry
  * @agent: decisions of an agent
  * @inbox: struct plug_track_message from the control thread
- * @refresh: an exact host list is wanted; the control thread clears it
+ * @refresh: an exact host list, or for an agent a health check of its host, is
+ *   wanted; the control thread clears it
  * @wake: eventfd that wakes the control thread
  * @stopping: the thread shall end
  * @counts: copies for the metrics
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -300,14 +300,19 @@
  * reuses a port: a draining host would get new requests. */
 START_TEST(reused_port_passes_admission_again)
 {
+	const struct plug_host_report leaving = {
+		.state = PLUG_HOST_UP,
+		.host = world.hosts[0].id,
+		.draining = true,
+		.checked_at = world.now,
+	};
 	unsigned int syns;
 
 	world_list_only(&world, 0);
 	world_open(&world, 0, 7);
 	world_close(&world, 0, 7);
 	syns = world.hosts[0].syns_received;
-	plug_track_agent_set_host(
-	    &world.agents[0], world.now, PLUG_HOST_UP, world.hosts[0].id, true);
+	plug_track_agent_set_host(&world.agents[0], world.now, &leaving);
 	world_syn(&world, 0, 7);
 	world_run(&world, REQUEST_WAIT);
 	ck_assert_uint_eq(world.hosts[0].syns_received, syns);
@@ -602,6 +607,139 @@
 }
 END_TEST
 
+/* Guards against handing the flows that wait for a host to the next host at its
+ * address: those of a host that fell silent waited while its health check had
+ * no answer, and were admitted as soon as the next host answered one. */
+START_TEST(waiting_flow_is_not_for_the_next_host)
+{
+	world_list_only(&world, 1);
+	world_end_check_connection(&world, 1);
+	world_host_silence(&world, 1);
+	world_syn(&world, 0, 7);
+	world_run(&world, 100 * PLUG_MSEC);
+	world_host_take_over(&world, 1, 999);
+	world_check_health(&world, 1);
+	world_run(&world, 100 * PLUG_MSEC);
+	ck_assert_uint_eq(world.hosts[1].syns_received, 0);
+}
+END_TEST
+
+/* Guards against handing a new flow to the next host at an address because the
+ * previous one answered the last health check, which may be seconds ago. */
+START_TEST(new_flow_is_not_for_an_unnoticed_host)
+{
+	world_list_only(&world, 1);
+	world_check_health(&world, 1);
+	world_host_silence(&world, 1);
+	world_run(&world, WORLD_ADDRESS_HOLD);
+	world_host_take_over(&world, 1, 999);
+	world_syn(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.hosts[1].syns_received, 0);
+	ck_assert_uint_eq(world.requested_checks, 1);
+}
+END_TEST
+
+/* Guards against handing a copy of a SYN to the next host at an address because
+ * the previous one had got the first one. */
+START_TEST(copy_of_a_syn_is_not_for_the_next_host)
+{
+	world_list_only(&world, 1);
+	world_check_health(&world, 1);
+	world_host_silence(&world, 1);
+	world_run(&world, WORLD_ADDRESS_HOLD - 600 * PLUG_MSEC);
+	world_syn(&world, 0, 7);
+	world_run(&world, 600 * PLUG_MSEC);
+	ck_assert_uint_eq(world.agents[1].counters[PLUG_AGENT_ADMITTED], 1);
+	world_host_take_over(&world, 1, 999);
+	world_syn(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.hosts[1].syns_received, 0);
+}
+END_TEST
+
+/* Guards against the same for a copy that comes late, through an entry for
+ * which the flow is open. */
+START_TEST(late_copy_of_a_syn_is_not_for_the_next_host)
+{
+	world_list_only(&world, 1);
+	world_open(&world, 0, 7);
+	world_host_silence(&world, 1);
+	world_run(&world, WORLD_ADDRESS_HOLD);
+	world_host_take_over(&world, 1, 999);
+	world_syn(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.hosts[1].syns_received, 0);
+}
+END_TEST
+
+/* Guards against an agent that was paused while its host was replaced, and then
+ * handles the SYNs that have arrived meanwhile. */
+START_TEST(paused_agent_hands_no_flow_to_the_next_host)
+{
+	world_list_only(&world, 1);
+	world_check_health(&world, 1);
+	world_syn(&world, 0, 7);
+	world_host_silence(&world, 1);
+	world.now += WORLD_ADDRESS_HOLD;
+	world_host_take_over(&world, 1, 999);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.hosts[1].syns_received, 0);
+}
+END_TEST
+
+/* Guards against segments that were read late: one that the previous host sent
+ * before a pause of the agent doesn't show that it still runs. */
+START_TEST(late_segment_does_not_show_that_the_host_runs)
+{
+	world_list_only(&world, 1);
+	world_open(&world, 0, 6);
+	world_repeat_answer(&world, 1, 6);
+	world_host_silence(&world, 1);
+	world.now += WORLD_ADDRESS_HOLD;
+	world_host_take_over(&world, 1, 999);
+	world_syn(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.hosts[1].syns_received, 0);
+}
+END_TEST
+
+/* Guards against callers that pay for the checks above: a host that was idle
+ * for longer than its address is held gets a new flow without a delay that a
+ * client would notice, and one that is busy isn't checked again and again. */
+START_TEST(idle_host_gets_a_new_flow_at_once)
+{
+	world_list_only(&world, 1);
+	for (uint16_t port = 1; port <= 20; port++) {
+		world_open(&world, port % 2, port);
+		world_run(&world, 100 * PLUG_MSEC);
+	}
+	ck_assert_uint_eq(world.requested_checks, 0);
+	world_run(&world, 5 * PLUG_SEC);
+	world_open(&world, 0, 30);
+	ck_assert_uint_eq(world.requested_checks, 1);
+}
+END_TEST
+
+/* Guards against clients that wait for a host that has fallen silent, while
+ * other hosts of their service run. */
+START_TEST(callers_of_a_replaced_host_are_served_elsewhere)
+{
+	world_host_silence(&world, 1);
+	world_run(&world, WORLD_ADDRESS_HOLD);
+	world_host_take_over(&world, 1, 999);
+	for (uint16_t port = 1; port <= 40; port++) {
+		world_syn(&world, port % 2, port);
+		world_run(&world, 20 * PLUG_MSEC);
+		ck_assert_uint_eq(world.clients[port].syn_acks, 1);
+		world_data(&world, port % 2, port);
+		world_run(&world, 40 * PLUG_MSEC);
+		ck_assert_uint_eq(world.clients[port].answers, 1);
+	}
+	ck_assert_uint_eq(world.hosts[1].syns_received, 0);
+}
+END_TEST
+
 /* Guards against more new flows than a cold host can handle, over all entries
  * and a restart of its agent: in any second at most 1.5 times the rate and 5
  * more. */
@@ -1277,6 +1415,14 @@
 	tcase_add_test(flows, returned_syn_goes_to_another_host);
 	tcase_add_test(flows, draining_and_out_hosts_get_no_flow);
 	tcase_add_test(flows, reused_address_gets_no_flow);
+	tcase_add_test(flows, waiting_flow_is_not_for_the_next_host);
+	tcase_add_test(flows, new_flow_is_not_for_an_unnoticed_host);
+	tcase_add_test(flows, copy_of_a_syn_is_not_for_the_next_host);
+	tcase_add_test(flows, late_copy_of_a_syn_is_not_for_the_next_host);
+	tcase_add_test(flows, paused_agent_hands_no_flow_to_the_next_host);
+	tcase_add_test(flows, late_segment_does_not_show_that_the_host_runs);
+	tcase_add_test(flows, idle_host_gets_a_new_flow_at_once);
+	tcase_add_test(flows, callers_of_a_replaced_host_are_served_elsewhere);
 	tcase_add_test(flows, new_flows_of_cold_host_are_limited);
 	tcase_add_test(flows, simultaneous_clients_are_queued);
 	tcase_add_test(flows, overload_leaves_most_answers_in_time);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -20,6 +20,7 @@
 	NOTICE_TO_ENTRY,
 	NOTICE_TO_AGENT,
 	REQUEST_COMPLETED, /* a host has finished processing a request */
+	HEALTH_CHECK,	   /* a requested health check reaches the host */
 };
 
 struct header {
@@ -166,6 +167,11 @@
 	case PLUG_TRACK_REFRESH_HOSTS:
 		world->refresh_requests++;
 		return;
+	case PLUG_TRACK_CHECK_HOST:
+		world->requested_checks++;
+		post(world, HEALTH_CHECK, node->index, node->index, "", 0,
+		    WORLD_CHECK_TIME);
+		return;
 	}
 }
 
@@ -204,7 +210,8 @@
 		world->listed[i] = true;
 		init_node(world, &world->agent_nodes[i], i);
 		ck_assert_int_eq(plug_track_agent_init(&world->agents[i],
-				     &world->agent_nodes[i].driver, world->now),
+				     &world->agent_nodes[i].driver, world->now,
+				     WORLD_ADDRESS_HOLD),
 		    PLUG_OK);
 		world_check_health(world, i);
 		world_host_start(world, i, 100 + i);
@@ -312,7 +319,8 @@
 {
 	plug_track_agent_finish(&world->agents[agent]);
 	ck_assert_int_eq(plug_track_agent_init(&world->agents[agent],
-			     &world->agent_nodes[agent].driver, world->now),
+			     &world->agent_nodes[agent].driver, world->now,
+			     WORLD_ADDRESS_HOLD),
 	    PLUG_OK);
 	world_check_health(world, agent);
 }
@@ -322,9 +330,45 @@
 world_check_health(struct world *world, unsigned int host)
 {
 	const struct world_host *h = &world->hosts[host];
+	const struct plug_host_report report = {
+		.state = h->listening ? PLUG_HOST_UP : PLUG_HOST_REFUSING,
+		.host = h->id,
+		.checked_at = world->now,
+	};
+
+	plug_track_agent_set_host(&world->agents[host], world->now, &report);
+}
+
+/* Tells the agent that the connection of the health check has ended. */
+void
+world_end_check_connection(struct world *world, unsigned int host)
+{
+	const struct plug_host_report report = { .state = PLUG_HOST_UNKNOWN };
+
+	plug_track_agent_set_host(&world->agents[host], world->now, &report);
+}
+
+/* Ends a host without a trace: its connections stay open, and it answers
+ * neither health checks nor segments. */
+void
+world_host_silence(struct world *world, unsigned int host)
+{
+	world->hosts[host].alive = false;
+	world->hosts[host].silent = true;
+}
+
+/* Starts a host at the address of a silent one, unnoticed by the agent. */
+void
+world_host_take_over(struct world *world, unsigned int host, uint64_t id)
+{
+	struct world_host *h = &world->hosts[host];
 
-	plug_track_agent_set_host(&world->agents[host], world->now,
-	    h->listening ? PLUG_HOST_UP : PLUG_HOST_REFUSING, h->id, false);
+	memset(h->has_flow, 0, sizeof(h->has_flow));
+	memset(h->sent_syn_ack, 0, sizeof(h->sent_syn_ack));
+	h->alive = true;
+	h->silent = false;
+	h->id = id;
+	h->syns_received = 0;
 }
 
 /* Drops all flows and requests of a host; it doesn't answer any more. */
@@ -506,6 +550,11 @@
 		deliver_notice(world, message);
 		return;
 	}
+	if (message->kind == HEALTH_CHECK) {
+		if (!world->hosts[message->to].silent)
+			world_check_health(world, message->to);
+		return;
+	}
 	if (message->kind == REQUEST_COMPLETED) {
 		memcpy(&port, message->bytes, sizeof(port));
 		if (world->hosts[message->to].running == 0)
@@ -548,9 +597,10 @@
 	for (unsigned int i = 0; i < world->entry_count; i++)
 		(void)plug_track_entry_tick(&world->entries[i], world->now);
 	for (unsigned int i = 0; i < world->host_count; i++) {
-		if (world->agent_nodes[i].up)
-			(void)plug_track_agent_tick(
-			    &world->agents[i], world->now);
+		if (!world->agent_nodes[i].up)
+			continue;
+		plug_track_agent_host_drained(&world->agents[i], world->now);
+		(void)plug_track_agent_tick(&world->agents[i], world->now);
 	}
 }
 
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -19,6 +19,8 @@
 #define WORLD_LINK_DELAY      (200) /* microseconds between any two nodes */
 #define WORLD_CLIENT_RTT      (2 * PLUG_MSEC)
 #define WORLD_TARGET_LATENCY  (150 * PLUG_MSEC) /* of the route */
+#define WORLD_ADDRESS_HOLD    (2 * PLUG_SEC)
+#define WORLD_CHECK_TIME      (PLUG_MSEC) /* of a requested health check */
 #define WORLD_REQUEST_TIMEOUT (600 * PLUG_MSEC) /* of the route */
 
 /**
@@ -26,6 +28,7 @@
  * @id: hash of its instance id
  * @alive: handles segments; else they are lost
  * @listening: its port accepts the connections of health checks
+ * @silent: answers no health check, but keeps its connection open
  * @accepts_syn: answers a SYN; else returns it
  * @resets_requests: answers a request with a reset
  * @request_time: time per request
@@ -46,6 +49,7 @@
 	uint64_t id;
 	bool alive;
 	bool listening;
+	bool silent;
 	bool accepts_syn;
 	bool resets_requests;
 	plug_time request_time;
@@ -129,6 +133,7 @@
  * @hosts: simulated hosts
  * @clients: simulated clients, by port
  * @refresh_requests: requests of entries to read the host list again
+ * @requested_checks: health checks that agents have requested
  * @entry_notices: notices that entries sent to agents
  * @entry_notice_bytes: total length of @entry_notices
  * @message_count: length of @messages
@@ -162,6 +167,7 @@
 	struct world_host hosts[WORLD_HOSTS_MAX];
 	struct world_client clients[WORLD_FLOWS];
 	unsigned int refresh_requests;
+	unsigned int requested_checks;
 	unsigned int entry_notices;
 	size_t entry_notice_bytes;
 	unsigned int message_count;
@@ -189,6 +195,9 @@
 void world_restart_agent(struct world *world, unsigned int agent);
 void world_host_crash(struct world *world, unsigned int host);
 void world_host_start(struct world *world, unsigned int host, uint64_t id);
+void world_host_silence(struct world *world, unsigned int host);
+void world_host_take_over(struct world *world, unsigned int host, uint64_t id);
+void world_end_check_connection(struct world *world, unsigned int host);
 void world_check_health(struct world *world, unsigned int host);
 void world_syn(struct world *world, unsigned int entry, uint16_t port);
 void world_ack(struct world *world, unsigned int entry, uint16_t port);
