--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -310,4 +310,5 @@
             sys.exit(1)
 
 
-main()
+if __name__ == "__main__":
+    main()
