--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -109,6 +109,18 @@
         pass
 
 
+def add_odd_entries():
+    """Entries of another writer, each almost that of the host."""
+    host = Store.items["servers/i-1"]
+    nested = []
+    for _ in range(500):
+        nested = [nested]
+    for i, (field, value) in enumerate((("zone", nested), ("slots", 10 ** 30),
+            ("cold-remaining-ms", 2 ** 63 - 1), ("born", 10 ** 300),
+            ("address", host["address"].split(":")[0] + ":99999"))):
+        Store.items["servers/odd-%d" % i] = {**host, field: value}
+
+
 def serve(address, handler):
     server = http.server.ThreadingHTTPServer(address, handler)
     server.daemon_threads = True
@@ -183,6 +195,7 @@
                 "cold-remaining-ms": 0},
             "servers/foreign": {"state": 5},
         }
+        add_odd_entries()
         Store.left = {"servers/i-0": dict(Store.items["servers/i-1"])}
 
     def settings(self, role):
@@ -250,6 +263,11 @@
         wait_for("answer", deployment.request)
         wait_for("foreign_entry_named", lambda: deployment.log_has("entry",
             "event=store_item_unreadable key=servers/foreign"))
+        # Guards against an entry that stops an entry from following the list.
+        Store.items["servers/i-2"] = {**Store.items["servers/i-1"],
+            "state": "draining"}
+        wait_for("list_followed", lambda: deployment.log_has("entry",
+            "event=host_listed host=i-2"))
         entry.kill()
         entry.wait()
         Store.items["op/evacuate/away"] = {}
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -1,5 +1,7 @@
 #include <check.h>
+#include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "libplantainlug/track/settings.h"
@@ -179,6 +181,110 @@
 }
 END_TEST
 
+/* Reads a list of a host with this value and of two others, one before and one
+ * after it. Return: the host's item. */
+static const struct plug_store_item *
+read_between_others(const char *value)
+{
+	const size_t len = strlen(value);
+	const size_t encoded =
+	    sodium_base64_encoded_len(len, sodium_base64_VARIANT_ORIGINAL);
+	const size_t size = encoded + 2 * sizeof(HOST_VALUE) + 256;
+	char *base64 = malloc(encoded), *text = malloc(size);
+	struct plug_store_page page;
+
+	ck_assert_ptr_nonnull(base64);
+	ck_assert_ptr_nonnull(text);
+	(void)sodium_bin2base64(base64, encoded, (const unsigned char *)value,
+	    len, sodium_base64_VARIANT_ORIGINAL);
+	(void)snprintf(text, size,
+	    "{\"items\":[{\"key\":\"servers/a\",\"value\":\"" HOST_VALUE
+	    "\"},{\"key\":\"servers/b\",\"value\":\"%s\"},"
+	    "{\"key\":\"servers/c\",\"value\":\"" HOST_VALUE "\"}],"
+	    "\"has-more\":true,\"store-revision\":9}",
+	    base64);
+	item_count = 0;
+	ck_assert_msg(read_text(text, &page) == PLUG_OK, "%.80s", value);
+	free(base64);
+	free(text);
+	ck_assert(page.more);
+	ck_assert_str_eq(page.last_key, "servers/c");
+	ck_assert_uint_eq(item_count, 3);
+	ck_assert(items[0].readable && items[2].readable);
+	return &items[1];
+}
+
+/* A host's value with one field replaced. */
+#define VALUE_WITH(address, slots, cold, more)                       \
+	"{\"service\":\"s\",\"address\":" address ",\"zone\":\"z\"," \
+	"\"version\":\"v\",\"slots\":" slots ",\"state\":\"ready\"," \
+	"\"cold-remaining-ms\":" cold ",\"seq\":1" more "}"
+#define WITH_ADDRESS(address) VALUE_WITH(address, "3", "0", "")
+#define WITH_SLOTS(slots)     VALUE_WITH("\"10.0.0.1:80\"", slots, "0", "")
+#define WITH_COLD(cold)	      VALUE_WITH("\"10.0.0.1:80\"", "3", cold, "")
+#define WITH_MORE(more)	      VALUE_WITH("\"10.0.0.1:80\"", "3", "0", more)
+
+/* Guards against another writer's entry that ends the process, ends the reading
+ * of the list or is used as a host: its numbers overflow, its port is out of
+ * range, or a field isn't of the type that hosts write. */
+START_TEST(odd_entries_name_no_host)
+{
+	static const char *const values[] = { "", "null", "5", "[]", "\"\"",
+		"{", "{}", WITH_COLD("9223372036854775807"),
+		WITH_COLD("9223372036854775"), WITH_COLD("4294967296"),
+		WITH_COLD("99999999999999999999999999"), WITH_COLD("1e300"),
+		WITH_COLD("1e999"), WITH_COLD("-1e999"), WITH_COLD("-1"),
+		WITH_COLD("NaN"), WITH_COLD("Infinity"), WITH_COLD("-Infinity"),
+		WITH_COLD("\"5\""), WITH_COLD("[5]"), WITH_SLOTS("0"),
+		WITH_SLOTS("-3"), WITH_SLOTS("4294967296"),
+		WITH_SLOTS("18446744073709551615"), WITH_SLOTS("1e999"),
+		WITH_SLOTS("NaN"), WITH_SLOTS("null"),
+		WITH_ADDRESS("\"10.0.0.1:65536\""),
+		WITH_ADDRESS("\"10.0.0.1:99999999999999999999\""),
+		WITH_ADDRESS("\"10.0.0.1:0\""), WITH_ADDRESS("\"10.0.0.1:-1\""),
+		WITH_ADDRESS("\"10.0.0.1:\""), WITH_ADDRESS("\"10.0.0.1\""),
+		WITH_ADDRESS("\"10.0.0.256:80\""), WITH_ADDRESS("\"host:80\""),
+		WITH_ADDRESS("\"\""), WITH_ADDRESS("80"), WITH_ADDRESS("{}"),
+		WITH_MORE(",\"born\":1e300"), WITH_MORE(",\"born\":1.5"),
+		WITH_MORE(",\"born\":9223372036854775807"),
+		WITH_MORE(",\"born\":18446744073709551615"),
+		WITH_MORE(",\"born\":-1"), WITH_MORE(",\"born\":\"77\""),
+		WITH_MORE(",\"born\":{}") };
+
+	ck_assert(read_between_others(WITH_MORE(",\"born\":77"))->readable);
+	ck_assert(read_between_others(WITH_MORE(""))->readable);
+	ck_assert(read_between_others(WITH_COLD("4294967295"))->readable);
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		const struct plug_store_item *item =
+		    read_between_others(values[i]);
+
+		ck_assert_msg(!item->readable, "%s", values[i]);
+		ck_assert_uint_gt(strlen(item->reason), 0);
+	}
+}
+END_TEST
+
+/* Guards against an entry that exhausts the stack or ends the reading of the
+ * list, as it is nested as deeply as the size of a value allows. */
+START_TEST(deeply_nested_entry_names_no_host)
+{
+	static const char *const brackets[] = { "[", "{\"a\":" };
+	const size_t count = 1 << 17;
+
+	for (size_t i = 0; i < sizeof(brackets) / sizeof(brackets[0]); i++) {
+		const size_t len = strlen(brackets[i]);
+		char *value = malloc(count * len + 1);
+
+		ck_assert_ptr_nonnull(value);
+		for (size_t j = 0; j < count; j++)
+			memcpy(value + j * len, brackets[i], len);
+		value[count * len] = '\0';
+		ck_assert(!read_between_others(value)->readable);
+		free(value);
+	}
+}
+END_TEST
+
 /* {"version":3,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"s"},
  *  {"host":"198.18.0.1","prefix":"/80/","traffic-split":[{"service":"s",
  *  "weight":9},{"service":"t","weight":1}]}],"services":[{"name":"s",
@@ -357,6 +463,8 @@
 	tcase_add_test(test, reset_names_the_flow);
 	tcase_add_test(test, host_list);
 	tcase_add_test(test, unreadable_entries_leave_the_others);
+	tcase_add_test(test, odd_entries_name_no_host);
+	tcase_add_test(test, deeply_nested_entry_names_no_host);
 	tcase_add_test(test, operators_part);
 	tcase_add_test(test, broken_answers_are_refused);
 	tcase_add_test(test, query_urls);
