Encode the key after which a list is read on

Cause: the key stood in the URL as it is. A URL with a space can't be parsed, so the query wasn't started and the list was read from its first page for ever; with "&" or "#" the key would be cut there.

Ruled out: the bytes of the entry, which are left out, and the size of the page.

Change: an answer gives a cursor, its last key with all but letters, digits and -._~/ percent-encoded, also for a key with a NUL. The buffer of a URL takes the longest key. A page that ends where the one before did is a failure, so that such a list isn't read over and over without a pause.

--- a/net/adapter.h
+++ b/net/adapter.h
@@ -3,7 +3,8 @@
 
 #include "libplantainlug/track/fleet.h"
 
-#define PLUG_STORE_KEY_SIZE 256 /* bytes of a key, with the NUL */
+#define PLUG_STORE_KEY_SIZE    256 /* bytes of a key, with the NUL */
+#define PLUG_STORE_CURSOR_SIZE (3 * PLUG_STORE_KEY_SIZE)
 
 enum plug_store_read {
 	PLUG_STORE_OPERATORS, /* what the operators have written */
@@ -15,14 +16,14 @@
  * struct plug_store_query - one read of the store
  * @what: part to read
  * @may_lag: an answer that is some seconds old will do, as it costs less
- * @after_key: continue behind this key; empty for the first page
+ * @cursor: continue here; empty for the first page
  * @after_revision: PLUG_STORE_CHANGES: only what is newer
  * @wait_ms: PLUG_STORE_CHANGES: how long to wait for a change
  */
 struct plug_store_query {
 	enum plug_store_read what;
 	bool may_lag;
-	char after_key[PLUG_STORE_KEY_SIZE];
+	char cursor[PLUG_STORE_CURSOR_SIZE];
 	uint64_t after_revision;
 	unsigned int wait_ms;
 };
@@ -61,13 +62,13 @@
 /**
  * struct plug_store_page - what an answer says besides its items
  * @revision: revision of the store
- * @more: another page follows behind @last_key
- * @last_key: key of the last item
+ * @more: another page follows at @cursor
+ * @cursor: position behind the last item, for struct plug_store_query
  */
 struct plug_store_page {
 	uint64_t revision;
 	bool more;
-	char last_key[PLUG_STORE_KEY_SIZE];
+	char cursor[PLUG_STORE_CURSOR_SIZE];
 };
 
 /**
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -3,7 +3,7 @@
 
 #include "loop.h"
 
-#define PLUG_FETCH_URL_SIZE 512 /* bytes of a URL, with the NUL */
+#define PLUG_FETCH_URL_SIZE 1024 /* bytes of a URL, with the NUL */
 
 /**
  * struct plug_fetch_answer - how an HTTP GET has ended
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -262,7 +262,7 @@
 		    part == &reader->hosts ? "hosts" : "operators", reason,
 		    (unsigned long long)part->position.revision);
 	part->due = now + plug_backoff_fail(&part->backoff, reader->client);
-	part->query.after_key[0] = '\0';
+	part->query.cursor[0] = '\0';
 	if (part == &reader->hosts && !part->query.may_lag)
 		reader->exact_wanted = true;
 }
@@ -319,7 +319,7 @@
 	    part == operators)
 		return;
 	plug_fetch_cancel(operators->slot);
-	operators->query.after_key[0] = '\0';
+	operators->query.cursor[0] = '\0';
 	operators->due = now;
 }
 
@@ -332,7 +332,7 @@
 {
 	struct plug_storereader *reader = part->reader;
 	struct plug_status status;
-	bool first = part->query.after_key[0] == '\0';
+	bool first = part->query.cursor[0] == '\0';
 	char reason[64];
 
 	if (answer->status != STATUS_OK) {
@@ -351,14 +351,19 @@
 		fail(part, now, status.message);
 		return false;
 	}
+	if (!first && page->more &&
+	    strcmp(page->cursor, part->query.cursor) == 0) {
+		fail(part, now, "a page ends where the one before did");
+		return false;
+	}
 	succeeded(part, now);
 	if (first)
 		part->position = (struct plug_store_position){ part->generation,
 			page->revision };
-	part->query.after_key[0] = '\0';
+	part->query.cursor[0] = '\0';
 	if (page->more)
-		memcpy(part->query.after_key, page->last_key,
-		    sizeof(part->query.after_key));
+		memcpy(part->query.cursor, page->cursor,
+		    sizeof(part->query.cursor));
 	return true;
 }
 
@@ -388,7 +393,7 @@
 	plug_time now = plug_clock_now();
 	struct plug_store_page page;
 	bool changes = part->query.what == PLUG_STORE_CHANGES;
-	bool first = part->query.after_key[0] == '\0';
+	bool first = part->query.cursor[0] == '\0';
 
 	note_generation(part, now);
 	part->due = part->began + REFRESH_SPACING;
@@ -440,7 +445,7 @@
 	struct plug_store_page page;
 
 	note_generation(part, now);
-	if (part->query.after_key[0] == '\0')
+	if (part->query.cursor[0] == '\0')
 		plug_storeview_begin_hosts(&reader->view);
 	part->due = now;
 	if (!read_page(part, now, answer, on_host_item, &page) || page.more)
@@ -468,7 +473,7 @@
 
 	if (part->query.what == PLUG_STORE_CHANGES)
 		timeout += part->query.wait_ms;
-	if (part->query.after_key[0] == '\0')
+	if (part->query.cursor[0] == '\0')
 		part->began = now;
 	part->generation = 0;
 	reader->counters[PLUG_STORE_CALLS]++;
@@ -495,7 +500,7 @@
 
 	if (!plug_fetch_busy(operators->slot)) {
 		if (operators->due <= now) {
-			if (operators->query.after_key[0] == '\0')
+			if (operators->query.cursor[0] == '\0')
 				set_operators_query(reader, now);
 			start(operators, now);
 		} else if (operators->due < next) {
@@ -508,7 +513,7 @@
 	    hosts->due > reader->exact_at + REFRESH_SPACING)
 		hosts->due = reader->exact_at + REFRESH_SPACING;
 	if (hosts->due <= now) {
-		if (hosts->query.after_key[0] == '\0') {
+		if (hosts->query.cursor[0] == '\0') {
 			hosts->query.may_lag = !reader->exact_wanted;
 			reader->exact_wanted = false;
 		}
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "libplantainlug/track/settings.h"
+#include "net/fetch.h"
 #include "platform/platform.h"
 #include "suites.h"
 
@@ -142,7 +143,7 @@
 	    PLUG_OK);
 	ck_assert_uint_eq(page.revision, 9);
 	ck_assert(page.more);
-	ck_assert_str_eq(page.last_key, "servers/i-1");
+	ck_assert_str_eq(page.cursor, "servers/i-1");
 	ck_assert_uint_eq(item_count, 1);
 	ck_assert(items[0].readable);
 	ck_assert_int_eq(items[0].kind, PLUG_STORE_HOST);
@@ -208,7 +209,7 @@
 	free(base64);
 	free(text);
 	ck_assert(page.more);
-	ck_assert_str_eq(page.last_key, "servers/c");
+	ck_assert_str_eq(page.cursor, "servers/c");
 	ck_assert_uint_eq(item_count, 3);
 	ck_assert(items[0].readable && items[2].readable);
 	return &items[1];
@@ -352,7 +353,7 @@
 	struct plug_store_query query = {
 		.what = PLUG_STORE_HOSTS,
 		.may_lag = true,
-		.after_key = "servers/i-9",
+		.cursor = "servers/i-9",
 	};
 	char url[128];
 
@@ -371,6 +372,65 @@
 }
 END_TEST
 
+/* Guards against a list that is read no further than to a page that ends with a
+ * key which can't stand in a URL as it is. */
+START_TEST(cursor_takes_any_key)
+{
+	static const struct {
+		const char *key; /* as JSON */
+		const char *cursor;
+	} cases[] = { { "servers/i-1._~", "servers/i-1._~" },
+		{ "servers/back up", "servers/back%20up" },
+		{ "servers/a&b=c#d%e?f+g",
+		    "servers/a%26b%3Dc%23d%25e%3Ff%2Bg" },
+		{ "servers/\\u0000\\n\\\"\\\\", "servers/%00%0A%22%5C" },
+		{ "servers/\xc3\xa9", "servers/%C3%A9" } };
+	const struct plug_endpoint store = { 0x0a000001, 80 };
+	char text[256], url[256], expected[256];
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct plug_store_query query = { .what = PLUG_STORE_HOSTS };
+		struct plug_store_page page;
+
+		(void)snprintf(text, sizeof(text),
+		    "{\"items\":[{\"key\":\"%s\",\"value\":\"\"}],"
+		    "\"has-more\":true,\"store-revision\":9}",
+		    cases[i].key);
+		ck_assert_int_eq(read_text(text, &page), PLUG_OK);
+		ck_assert_str_eq(page.cursor, cases[i].cursor);
+		memcpy(query.cursor, page.cursor, sizeof(query.cursor));
+		(void)snprintf(expected, sizeof(expected),
+		    "http://10.0.0.1:80/kv-range?prefix=servers/&after=%s",
+		    cases[i].cursor);
+		ck_assert(
+		    plug_store_query_url(&query, store, url, sizeof(url)));
+		ck_assert_str_eq(url, expected);
+	}
+}
+END_TEST
+
+/* Guards against the same for the longest key, each byte of which takes three
+ * in the URL. */
+START_TEST(cursor_takes_the_longest_key)
+{
+	const struct plug_endpoint store = { 0xffffffff, 65535 };
+	struct plug_store_query query = { .what = PLUG_STORE_HOSTS,
+		.may_lag = true };
+	struct plug_store_page page;
+	char text[320], url[PLUG_FETCH_URL_SIZE];
+
+	(void)snprintf(text, sizeof(text),
+	    "{\"items\":[{\"key\":\"servers/%192s\",\"value\":\"\"}],"
+	    "\"has-more\":true,\"store-revision\":9}",
+	    "");
+	ck_assert_int_eq(read_text(text, &page), PLUG_OK);
+	ck_assert_uint_eq(
+	    strlen(page.cursor), strlen("servers/") + 192 * strlen("%20"));
+	memcpy(query.cursor, page.cursor, sizeof(query.cursor));
+	ck_assert(plug_store_query_url(&query, store, url, sizeof(url)));
+}
+END_TEST
+
 START_TEST(health_header)
 {
 	struct plug_health health = { 0 };
@@ -468,6 +528,8 @@
 	tcase_add_test(test, operators_part);
 	tcase_add_test(test, broken_answers_are_refused);
 	tcase_add_test(test, query_urls);
+	tcase_add_test(test, cursor_takes_any_key);
+	tcase_add_test(test, cursor_takes_the_longest_key);
 	tcase_add_test(test, health_header);
 	tcase_add_test(test, store_generation_header);
 	tcase_add_test(test, tracking_settings);
