Let only hosts of configured services supersede others

Cause: hosts count as superseded when another one at their address started later, whatever its service. Such an entry can't be used itself, as no route leads to its service, but it took the host out of use.

Ruled out: the entry's other fields, which are well formed, and its port, which isn't compared: hosts are known by the machine of their agent.

Change: a host is superseded by one that started later at its address only if the service of that one is configured. With three hosts at an address the oldest one is compared with the newest that can be used, not with its neighbour.

--- a/libplantainlug/track/fleet.c
+++ b/libplantainlug/track/fleet.c
@@ -271,6 +271,29 @@
 	}
 }
 
+/* Marks the hosts at whose address one started later. One of a service that
+ * isn't configured can't be used, so that it doesn't count. The hosts must be
+ * sorted by address and start. */
+static void
+mark_superseded(struct plug_fleet *fleet)
+{
+	uint64_t newest_ms = 0;
+
+	for (unsigned int i = fleet->host_count; i-- > 0;) {
+		struct plug_fleet_host *host = &fleet->hosts[i];
+
+		if (i + 1 == fleet->host_count ||
+		    host->address != host[1].address)
+			newest_ms = 0;
+		host->superseded = host->started_ms < newest_ms;
+		if (i > 0 && host[-1].address == host->address &&
+		    newest_ms == 0 &&
+		    plug_config_find_service(fleet->config, host->service) !=
+			NULL)
+			newest_ms = host->started_ms;
+	}
+}
+
 /**
  * plug_fleet_complete() - mark superseded hosts, list agents, sort hosts
  * @fleet: snapshot whose hosts are filled in; not shared yet
@@ -283,13 +306,7 @@
 {
 	qsort(fleet->hosts, fleet->host_count, sizeof(*fleet->hosts),
 	    compare_by_address);
-	for (unsigned int i = 0; i + 1 < fleet->host_count; i++) {
-		const struct plug_fleet_host *next = &fleet->hosts[i + 1];
-
-		fleet->hosts[i].superseded =
-		    fleet->hosts[i].address == next->address &&
-		    fleet->hosts[i].started_ms < next->started_ms;
-	}
+	mark_superseded(fleet);
 	list_agents(fleet);
 	qsort(fleet->hosts, fleet->host_count, sizeof(*fleet->hosts),
 	    plug_fleet_host_compare);
--- a/libplantainlug/track/fleet.h
+++ b/libplantainlug/track/fleet.h
@@ -86,7 +86,8 @@
  * @domain: hash of the failure domain's name
  * @slots: requests that the host processes concurrently, at least 1
  * @draining: the host is shutting down and must not get new flows
- * @superseded: a host that started later is listed at the same address
+ * @superseded: a host of a configured service that started later is listed at
+ *   the same address
  * @cold_until: until then the host is cold and can handle few requests; 0 when
  *   warm
  * @started_ms: when this instance started, milliseconds since 1970; 0 if
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -14,6 +14,8 @@
 #define NORTH	      1U /* domains */
 #define SOUTH	      2U
 
+#define SERVICE 7U /* the only one that is configured */
+
 static struct plug_client client;
 static struct plug_storeview view;
 static char logged[8192];
@@ -425,6 +427,50 @@
 }
 END_TEST
 
+/* Guards against hosts that get no flow because an entry of another writer
+ * names their machine, and against flows for the previous host of an address.
+ * Each digit of @services is the service of one host at the address, in the
+ * order in which they started; an X in @expected marks a superseded one. */
+static void
+expect_superseded(const char *services, const char *expected)
+{
+	struct plug_config *config = plug_config_create(0, 1);
+	const size_t count = strlen(services);
+	struct plug_fleet *fleet;
+
+	ck_assert_ptr_nonnull(config);
+	config->services[0].id = SERVICE;
+	fleet = plug_fleet_create(config, (unsigned int)count);
+	ck_assert_ptr_nonnull(fleet);
+	for (unsigned int i = 0; i < count; i++)
+		fleet->hosts[i] = (struct plug_fleet_host){
+			.id = i,
+			.address = 5,
+			.service = (uint64_t)(services[i] - '0'),
+			.started_ms = i + 1,
+		};
+	plug_fleet_complete(fleet);
+	for (unsigned int i = 0; i < count; i++)
+		ck_assert_msg(plug_fleet_find_host(fleet, i)->superseded ==
+				  (expected[i] == 'X'),
+		    "%s: host %u", services, i);
+	plug_fleet_release(fleet);
+	plug_config_release(config);
+}
+
+START_TEST(only_a_usable_host_supersedes)
+{
+	expect_superseded("7", "-");
+	expect_superseded("77", "X-");
+	expect_superseded("78", "--");
+	expect_superseded("87", "X-");
+	expect_superseded("778", "X--");
+	expect_superseded("787", "XX-");
+	expect_superseded("7888", "----");
+	expect_superseded("7777", "XXX-");
+}
+END_TEST
+
 Suite *
 storeview_suite(void)
 {
@@ -450,6 +496,7 @@
 	tcase_add_test(test, returned_host_stays_in_use_after_a_restore);
 	tcase_add_test(test, list_of_a_restored_copy_is_not_authoritative);
 	tcase_add_test(test, backoff_ends_when_another_read_is_answered);
+	tcase_add_test(test, only_a_usable_host_supersedes);
 	suite_add_tcase(suite, test);
 	return suite;
 }
