Keep idle flows until their greatest age

Cause: an agent without new flows learns of a new timeout from the configuration only, which it reads once a minute. Until then it removed idle flows by the old one, and as its table counts as complete, it answered that its host doesn't hold them. A restarted agent took its table for complete after the old timeout in the same way.

Ruled out: entries (they keep idle flows by the version in force) and hosts.

Change: what an agent answers no longer depends on the idle timeout. Idle flows stay in the table until they are older than any flow may be, the setting flow_age_max_s, which the platform tells; they stop counting as load after the timeout. Completeness after a restart is counted by the same age. A SYN on an idle flow is a new flow, and a question about one must show an acknowledgement number of it, since its port may be in use again.

Why this works: the age is fixed for the life of the process, so that it can't be out of date; a flow that the host has dropped is reset when the host returns its next segment.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -48,18 +48,19 @@
  * @agent: agent to initialize
  * @driver: handlers; must outlive the agent
  * @now: current time
- * @address_hold: shortest time from the end of a host to the start of another
- *   one at its address, microseconds
+ * @limits: limits of the platform; copied
  *
  * Return: PLUG_OK or PLUG_E_MEMORY.
  */
 enum plug_code
 plug_track_agent_init(struct plug_track_agent *agent,
-    struct plug_track_driver *driver, plug_time now, plug_time address_hold)
+    struct plug_track_driver *driver, plug_time now,
+    const struct plug_track_limits *limits)
 {
 	*agent = (struct plug_track_agent){
 		.driver = driver,
-		.address_hold = address_hold,
+		.address_hold = limits->address_hold,
+		.flow_age_max = limits->flow_age_max,
 		.host_drained_at = now,
 		.observed_since = now,
 		.ticked_at = now,
@@ -315,7 +316,7 @@
 		    &segment->tuple, "host_uncertain");
 		return;
 	}
-	plug_conntable_touch(&agent->flows, &flow->conn, now);
+	plug_host_flow_touch(agent, now, flow);
 	if ((fin || reset) && flow->request_running && !flow->client_fin &&
 	    !flow->host_fin && now - flow->handed_at >= GIVEN_UP_TIME)
 		record_failure(agent, now, flow, "client_gave_up");
@@ -451,7 +452,7 @@
 		flow->request_running = false;
 	}
 	plug_host_flow_account(agent, flow, 1);
-	plug_conntable_touch(&agent->flows, &flow->conn, now);
+	plug_host_flow_touch(agent, now, flow);
 	if (probed && flow->state == PLUG_HOST_FLOW_OPEN)
 		plug_locate_send_answer(agent, flow->entry, &segment->tuple,
 		    PLUG__HOLDING__YES, NULL);
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -36,6 +36,17 @@
 	plug_time checked_at;
 };
 
+/**
+ * struct plug_track_limits - what the platform guarantees
+ * @address_hold: shortest time from the end of a host to the start of another
+ *   one at its address, microseconds
+ * @flow_age_max: age from which on any flow may be discarded, microseconds
+ */
+struct plug_track_limits {
+	plug_time address_hold;
+	plug_time flow_age_max;
+};
+
 enum plug_host_flow_state {
 	PLUG_HOST_FLOW_OPENING, /* SYN handed to the host */
 	PLUG_HOST_FLOW_OPEN,	/* the host has sent more than its SYN+ACK */
@@ -50,6 +61,8 @@
  * @state: see enum plug_host_flow_state
  * @entry: address of the entry that sent the flow's last segment; 0 while
  *   unknown
+ * @first_seen_at: time when the flow was added to the table
+ * @idle: no segment has passed for the idle timeout; doesn't count as open
  * @syn_acked: the host has sent its SYN+ACK
  * @awaits_request: the flow was admitted and its first request is still
  *   expected
@@ -71,6 +84,8 @@
 	struct plug_conn conn;
 	enum plug_host_flow_state state;
 	uint32_t entry;
+	plug_time first_seen_at;
+	bool idle;
 	bool syn_acked;
 	bool awaits_request;
 	bool request_running;
@@ -124,6 +139,7 @@
  * @draining: the health check says that the host is leaving
  * @address_hold: shortest time from the end of a host to the start of another
  *   one at its address
+ * @flow_age_max: age from which on any flow may be discarded
  * @host_seen_at: latest time at which @host is known to have run; 0 if there is
  *   none
  * @host_drained_at: segments that the host sent before this time have been
@@ -137,7 +153,8 @@
  * @all_flows_seen: @flows has had every flow of the host since the host's start
  * @config_version: newest version of the configuration that is known; 0 before
  *   the first one
- * @idle_timeout: timeout of idle flows of that version
+ * @idle_timeout: timeout of idle flows of that version, which may be out of
+ *   date; only decides which flows count as load
  * @flows: flows of the host by tuple, see struct plug_host_flow
  * @open_flow_count: flows that are open or opening
  * @running: requests that the host hasn't answered
@@ -163,6 +180,7 @@
 	uint64_t host;
 	bool draining;
 	plug_time address_hold;
+	plug_time flow_age_max;
 	plug_time host_seen_at;
 	plug_time host_drained_at;
 	bool check_requested;
@@ -190,7 +208,8 @@
 };
 
 enum plug_code plug_track_agent_init(struct plug_track_agent *agent,
-    struct plug_track_driver *driver, plug_time now, plug_time address_hold);
+    struct plug_track_driver *driver, plug_time now,
+    const struct plug_track_limits *limits);
 void plug_track_agent_finish(struct plug_track_agent *agent);
 void plug_track_agent_set_idle_timeout(
     struct plug_track_agent *agent, uint64_t version, plug_time idle_timeout);
--- a/libplantainlug/track/agent_flows.c
+++ b/libplantainlug/track/agent_flows.c
@@ -12,6 +12,10 @@
 /* Added to the idle timeout, so that entries forget an idle flow first. */
 #define IDLE_SLACK (10 * PLUG_SEC)
 
+/* Added to the age at which flows may be discarded, as the agent sees a flow a
+ * little later than its client opens it. */
+#define AGE_SLACK (2 * PLUG_SEC)
+
 /**
  * plug_host_flow_is_closed() - whether both sides have closed a flow
  * @flow: flow
@@ -35,7 +39,7 @@
 plug_host_flow_account(
     struct plug_track_agent *agent, const struct plug_host_flow *flow, int sign)
 {
-	if (flow->state == PLUG_HOST_FLOW_PROBED ||
+	if (flow->state == PLUG_HOST_FLOW_PROBED || flow->idle ||
 	    plug_host_flow_is_closed(flow))
 		return;
 	agent->open_flow_count += (uint32_t)sign;
@@ -45,6 +49,23 @@
 		agent->opening += (uint32_t)sign;
 }
 
+/**
+ * plug_host_flow_touch() - note that a segment of a flow has passed
+ * @agent: agent
+ * @now: current time
+ * @flow: flow; counts as open again if it was idle
+ */
+void
+plug_host_flow_touch(
+    struct plug_track_agent *agent, plug_time now, struct plug_host_flow *flow)
+{
+	plug_conntable_touch(&agent->flows, &flow->conn, now);
+	if (!flow->idle)
+		return;
+	flow->idle = false;
+	plug_host_flow_account(agent, flow, 1);
+}
+
 /**
  * plug_host_flow_remove() - remove a flow from the table
  * @agent: agent
@@ -97,6 +118,7 @@
 	}
 	flow->state = state;
 	flow->entry = entry;
+	flow->first_seen_at = now;
 	plug_host_flow_account(agent, flow, 1);
 	return flow;
 }
@@ -200,25 +222,40 @@
  * @agent: agent
  * @now: current time
  *
- * After an idle timeout of complete observation, any flow that the agent missed
- * before would have expired.
+ * After complete observation for the greatest age of a flow, any flow that the
+ * agent missed before has ended. The idle timeout doesn't tell, as the agent
+ * may not know yet that it was raised.
  */
 bool
 plug_host_flows_complete(const struct plug_track_agent *agent, plug_time now)
 {
 	return agent->all_flows_seen ||
-	       now - agent->observed_since > idle_limit(agent);
+	       now - agent->observed_since > agent->flow_age_max + AGE_SLACK;
 }
 
-static plug_time
-lifetime(
-    const struct plug_track_agent *agent, const struct plug_host_flow *flow)
+static bool
+is_expired(const struct plug_track_agent *agent, plug_time now,
+    const struct plug_host_flow *flow)
 {
+	const plug_time untouched = now - flow->conn.touched_at;
+
 	if (flow->state == PLUG_HOST_FLOW_PROBED)
-		return PROBE_TIME;
+		return untouched > PROBE_TIME;
 	if (plug_host_flow_is_closed(flow))
-		return CLOSED_TIME;
-	return idle_limit(agent);
+		return untouched > CLOSED_TIME;
+	return untouched > idle_limit(agent) &&
+	       now - flow->first_seen_at > agent->flow_age_max + AGE_SLACK;
+}
+
+/* An idle flow stays in the table, but doesn't count as load. */
+static void
+mark_idle(
+    struct plug_track_agent *agent, plug_time now, struct plug_host_flow *flow)
+{
+	if (flow->idle || now - flow->conn.touched_at <= idle_limit(agent))
+		return;
+	plug_host_flow_account(agent, flow, -1);
+	flow->idle = true;
 }
 
 /**
@@ -227,7 +264,7 @@
  * @now: current time
  *
  * These are probed flows without an answer, flows that both sides have closed,
- * and idle flows.
+ * and idle flows above the greatest age of a flow.
  */
 void
 plug_host_flow_expire(struct plug_track_agent *agent, plug_time now)
@@ -238,7 +275,9 @@
 		struct plug_host_flow *flow = (struct plug_host_flow *)conn;
 
 		conn = conn->newer;
-		if (now - flow->conn.touched_at > lifetime(agent, flow))
+		if (is_expired(agent, now, flow))
 			plug_host_flow_remove(agent, flow);
+		else
+			mark_idle(agent, now, flow);
 	}
 }
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -9,6 +9,8 @@
 plug_host_flows_complete(const struct plug_track_agent *agent, plug_time now);
 void plug_host_flow_account(struct plug_track_agent *agent,
     const struct plug_host_flow *flow, int sign);
+void plug_host_flow_touch(
+    struct plug_track_agent *agent, plug_time now, struct plug_host_flow *flow);
 void plug_host_flow_remove(
     struct plug_track_agent *agent, struct plug_host_flow *flow);
 struct plug_host_flow *plug_host_flow_add(struct plug_track_agent *agent,
--- a/libplantainlug/track/agent_lookup.c
+++ b/libplantainlug/track/agent_lookup.c
@@ -113,7 +113,7 @@
 						   : PLUG__HOLDING__UNSURE;
 	switch (flow->state) {
 	case PLUG_HOST_FLOW_OPEN:
-		if (plug_host_flow_is_closed(flow) &&
+		if ((plug_host_flow_is_closed(flow) || flow->idle) &&
 		    ack - flow->client_ack + ACK_WINDOW > 2 * ACK_WINDOW)
 			return PLUG__HOLDING__NO;
 		return PLUG__HOLDING__YES;
--- a/libplantainlug/track/settings.c
+++ b/libplantainlug/track/settings.c
@@ -7,7 +7,11 @@
 /* Seconds, for a platform that doesn't tell. A shorter time only costs more
  * health checks. */
 #define ADDRESS_REUSE_DEFAULT 1.0
-#define ADDRESS_REUSE_MAX     86400.0
+#define SECONDS_MAX	      86400.0
+
+/* Seconds, for a platform that doesn't tell. A longer time only costs memory,
+ * and a restarted agent asks its host about unknown flows for longer. */
+#define FLOW_AGE_MAX_DEFAULT 3600.0
 
 #define FIELD(key, type, member)       \
 	.name = (key), .kind = (type), \
@@ -46,7 +50,9 @@
 		{ FIELD("host", PLUG_JSON_ENDPOINT, host), .optional = true },
 		{ FIELD("service", PLUG_JSON_NAME, service), .optional = true },
 		{ FIELD("address_reuse_s", PLUG_JSON_REAL, address_reuse_s),
-		    .optional = true, .max = ADDRESS_REUSE_MAX },
+		    .optional = true, .max = SECONDS_MAX },
+		{ FIELD("flow_age_max_s", PLUG_JSON_REAL, flow_age_max_s),
+		    .optional = true, .max = SECONDS_MAX },
 	};
 	struct plug_json json;
 	enum plug_code code;
@@ -54,6 +60,7 @@
 	memset(settings, 0, sizeof(*settings));
 	settings->log_level = PLUG_LOG_INFO;
 	settings->address_reuse_s = ADDRESS_REUSE_DEFAULT;
+	settings->flow_age_max_s = FLOW_AGE_MAX_DEFAULT;
 	code = plug_json_open(&json, text, PLUG_DOCUMENT_SIZE_MAX, status);
 	if (code != PLUG_OK)
 		return code;
--- a/libplantainlug/track/settings.h
+++ b/libplantainlug/track/settings.h
@@ -21,7 +21,8 @@
  *   for an agent only
  * @service: name of the service of an agent's host; empty if not set
  * @address_reuse_s: shortest time in seconds from the end of a host to the
- * start of another one at its address
+ *   start of another one at its address
+ * @flow_age_max_s: age in seconds from which on any flow may be discarded
  */
 struct plug_track_settings {
 	enum plug_role role;
@@ -36,6 +37,7 @@
 	struct plug_endpoint host;
 	char service[PLUG_NAME_SIZE];
 	double address_reuse_s;
+	double flow_age_max_s;
 };
 
 enum plug_code plug_track_settings_parse(struct plug_str text,
--- a/net/tracktraffic.c
+++ b/net/tracktraffic.c
@@ -374,26 +374,32 @@
 	}
 }
 
-static plug_time
-address_hold(const struct plug_track_settings *settings)
+static struct plug_track_limits
+limits_of(const struct plug_track_settings *settings)
 {
-	double seconds = settings->address_reuse_s;
-
-	return (plug_time)((seconds > ADDRESS_HOLD_MIN ? seconds
-						       : ADDRESS_HOLD_MIN) *
-			   (double)PLUG_SEC);
+	double hold = settings->address_reuse_s;
+
+	if (hold < ADDRESS_HOLD_MIN)
+		hold = ADDRESS_HOLD_MIN;
+	return (struct plug_track_limits){
+		.address_hold = (plug_time)(hold * (double)PLUG_SEC),
+		.flow_age_max =
+		    (plug_time)(settings->flow_age_max_s * (double)PLUG_SEC),
+	};
 }
 
 static enum plug_code
 init_role(struct plug_tracktraffic *traffic)
 {
 	const char *domain = traffic->settings->domain;
+	struct plug_track_limits limits;
 
 	if (traffic->settings->role == PLUG_ROLE_ENTRY)
 		return plug_track_entry_init(&traffic->entry, &traffic->driver,
 		    plug_domain_hash(plug_str_from(domain)));
-	return plug_track_agent_init(&traffic->agent, &traffic->driver,
-	    plug_clock_now(), address_hold(traffic->settings));
+	limits = limits_of(traffic->settings);
+	return plug_track_agent_init(
+	    &traffic->agent, &traffic->driver, plug_clock_now(), &limits);
 }
 
 static void
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -84,6 +84,85 @@
 }
 END_TEST
 
+/* Guards against the same at an agent that gets no new flow after the change,
+ * and so doesn't learn of it. Broke the rule FLOW in review/3. */
+START_TEST(idle_flow_survives_an_unknown_longer_timeout)
+{
+	world_open(&world, 0, 7);
+	world.config_version = 2;
+	world.idle_timeout = 60 * PLUG_SEC;
+	world_adopt_all(&world, true);
+	world_run(&world, 40 * PLUG_SEC);
+	world_data(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	world_restart_entry(&world, 0);
+	world_data(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.clients[7].answers, 3);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against the same at an agent that has restarted and takes its table
+ * for complete after the old timeout. */
+START_TEST(idle_flow_survives_a_restarted_agent)
+{
+	unsigned int host = open_flow();
+
+	world.config_version = 2;
+	world.idle_timeout = 60 * PLUG_SEC;
+	world_adopt_all(&world, true);
+	world_restart_agent(&world, host);
+	world_run(&world, 40 * PLUG_SEC);
+	world_data(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
+/* Guards against idle flows that count as load, or stay for ever. */
+START_TEST(idle_flow_is_no_load_and_is_forgotten)
+{
+	unsigned int host = open_flow();
+
+	world_run(&world, 40 * PLUG_SEC);
+	ck_assert_uint_eq(world.agents[host].open_flow_count, 0);
+	ck_assert_uint_eq(world.agents[host].flows.count, 1);
+	world_data(&world, 0, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.agents[host].open_flow_count, 1);
+	world_run(&world, WORLD_FLOW_AGE_MAX);
+	ck_assert_uint_eq(world.agents[host].open_flow_count, 0);
+	ck_assert_uint_eq(world.agents[host].flows.count, 0);
+}
+END_TEST
+
+/* Guards against an agent that takes a new flow for an idle one of the same
+ * port: it would claim the other host's flow, and hand over a SYN without
+ * admission. */
+START_TEST(idle_flow_is_not_taken_for_a_new_one)
+{
+	unsigned int host = open_flow(), other;
+
+	world_run(&world, 40 * PLUG_SEC);
+	world.clients[7] = (struct world_client){ .seq = 2000000 };
+	world.hosts[host].has_flow[7] = false;
+	other = host == 0 ? 1 : 0;
+	world_list_only(&world, other);
+	world_open(&world, 1, 7);
+	ck_assert_int_eq(world_host_of_flow(&world, 7), (int)other);
+	for (unsigned int i = 0; i < world.host_count; i++)
+		world.listed[i] = true;
+	world_adopt_all(&world, true);
+	world_restart_entry(&world, 1);
+	world_data(&world, 1, 7);
+	world_run(&world, REQUEST_WAIT);
+	ck_assert_uint_eq(world.clients[7].answers, 2);
+	ck_assert_uint_eq(world.clients[7].resets, 0);
+}
+END_TEST
+
 /* Guards against an entry with an older configuration that shortens it again.
  */
 START_TEST(agent_keeps_the_newest_idle_timeout)
@@ -1388,6 +1467,10 @@
 	tcase_add_test(flows, another_entry_finds_the_host);
 	tcase_add_test(flows, restarted_entry_finds_the_host);
 	tcase_add_test(flows, agent_learns_a_longer_idle_timeout_from_entries);
+	tcase_add_test(flows, idle_flow_survives_an_unknown_longer_timeout);
+	tcase_add_test(flows, idle_flow_survives_a_restarted_agent);
+	tcase_add_test(flows, idle_flow_is_no_load_and_is_forgotten);
+	tcase_add_test(flows, idle_flow_is_not_taken_for_a_new_one);
 	tcase_add_test(flows, agent_keeps_the_newest_idle_timeout);
 	tcase_add_test(flows, restarted_agent_keeps_the_flow);
 	tcase_add_test(flows, flows_survive_restart_of_all_processes);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -175,6 +175,11 @@
 	}
 }
 
+static const struct plug_track_limits limits = {
+	.address_hold = WORLD_ADDRESS_HOLD,
+	.flow_age_max = WORLD_FLOW_AGE_MAX,
+};
+
 static void
 init_node(struct world *world, struct world_node *node, unsigned int index)
 {
@@ -209,9 +214,9 @@
 		};
 		world->listed[i] = true;
 		init_node(world, &world->agent_nodes[i], i);
-		ck_assert_int_eq(plug_track_agent_init(&world->agents[i],
-				     &world->agent_nodes[i].driver, world->now,
-				     WORLD_ADDRESS_HOLD),
+		ck_assert_int_eq(
+		    plug_track_agent_init(&world->agents[i],
+			&world->agent_nodes[i].driver, world->now, &limits),
 		    PLUG_OK);
 		world_check_health(world, i);
 		world_host_start(world, i, 100 + i);
@@ -318,9 +323,9 @@
 world_restart_agent(struct world *world, unsigned int agent)
 {
 	plug_track_agent_finish(&world->agents[agent]);
-	ck_assert_int_eq(plug_track_agent_init(&world->agents[agent],
-			     &world->agent_nodes[agent].driver, world->now,
-			     WORLD_ADDRESS_HOLD),
+	ck_assert_int_eq(
+	    plug_track_agent_init(&world->agents[agent],
+		&world->agent_nodes[agent].driver, world->now, &limits),
 	    PLUG_OK);
 	world_check_health(world, agent);
 }
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -20,6 +20,7 @@
 #define WORLD_CLIENT_RTT      (2 * PLUG_MSEC)
 #define WORLD_TARGET_LATENCY  (150 * PLUG_MSEC) /* of the route */
 #define WORLD_ADDRESS_HOLD    (2 * PLUG_SEC)
+#define WORLD_FLOW_AGE_MAX    (60 * PLUG_SEC)
 #define WORLD_CHECK_TIME      (PLUG_MSEC) /* of a requested health check */
 #define WORLD_REQUEST_TIMEOUT (600 * PLUG_MSEC) /* of the route */
 
