Ask a silent host again before it is declared dead

What callers saw: a leaving host with a closed port worked on one request of 450 ms, where others take 20.

Cause: host_dead silent_ms=291 missed=14. One request that has waited for 14 mean work times counted as 14 missed answers. Work times have no such bound, so that a live host with a long request in each slot is as silent as a dead one.

Ruled out: pauses of the agent, which are taken off; the closed port by itself.

Change: the agent keeps up to eight segments whose requests were answered and sends a silent host copies of them, from 50 ms of silence on, every 50 ms. A live host acknowledges data that it gets again, whatever it works on. The verdict needs three copies without an answer beside the former conditions, so that it is never made sooner than before; where no segment can be sent again, the former conditions decide alone.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -14,9 +14,9 @@
 
 /* A leaving host closes its port and goes on serving its flows for seconds. A
  * host that refuses connections is declared dead if it has sent nothing for
- * UNANSWERED_MIN and should have answered MISSED_ANSWERS requests meanwhile:
- * the probability that a live host leaves all of them unanswered by chance is
- * one in a million. */
+ * UNANSWERED_MIN, should have answered MISSED_ANSWERS requests meanwhile if
+ * they take as long as others, and has answered no copy of an answered request.
+ */
 #define MISSED_ANSWERS 14.0
 #define UNANSWERED_MIN (250 * PLUG_MSEC)
 
@@ -273,18 +273,22 @@
 
 	if (!plug_built_with(PLUG_MECHANISM_DEATH) ||
 	    agent->host_state != PLUG_HOST_REFUSING ||
-	    agent->unanswered_since == 0 ||
-	    now - agent->unanswered_since < UNANSWERED_MIN)
+	    agent->unanswered_since == 0)
+		return;
+	plug_liveness_probe(agent, now);
+	if (now - agent->unanswered_since < UNANSWERED_MIN ||
+	    plug_liveness_is_open(agent, now))
 		return;
 	missed = missed_answers(agent, now);
 	if (missed < MISSED_ANSWERS)
 		return;
 	plug_client_log(&agent->driver->client, PLUG_LOG_INFO,
 	    "event=host_dead host=%016llx flows=%u running=%u silent_ms=%lld "
-	    "missed=%.0f",
+	    "missed=%.0f copies=%u",
 	    (unsigned long long)agent->host, agent->open_flow_count,
 	    agent->running,
-	    (long long)((now - agent->unanswered_since) / PLUG_MSEC), missed);
+	    (long long)((now - agent->unanswered_since) / PLUG_MSEC), missed,
+	    agent->liveness.unanswered);
 	agent->host_state = PLUG_HOST_DOWN;
 	plug_host_flow_drop_all(agent, "host_dead");
 	plug_report_schedule_all(agent);
@@ -326,8 +330,10 @@
 		flow->client_next_seq = segment->seq + segment->len;
 		flow->client_sent_data = true;
 	}
-	if (new_data && !fin && !flow->request_running && !flow->client_fin)
+	if (new_data && !fin && !flow->request_running && !flow->client_fin) {
 		plug_intake_start_request(agent, now, flow);
+		plug_liveness_keep(agent, now, segment);
+	}
 	if (!flow->host_fin)
 		plug_intake_mark_unanswered(now, flow, segment);
 	if (fin) {
@@ -475,6 +481,7 @@
 
 	agent->counters[PLUG_AGENT_RETURNED]++;
 	agent->unanswered_since = 0;
+	agent->liveness.unanswered = 0;
 	if ((segment->flags & PLUG_SEGMENT_BOUNCED) != 0) {
 		handle_bounced(agent, segment);
 		plug_intake_admit(agent, now);
@@ -608,6 +615,7 @@
 		[PLUG_AGENT_RESETS] = "resets",
 		[PLUG_AGENT_FAILED] = "failed",
 		[PLUG_AGENT_PROBES] = "probes",
+		[PLUG_AGENT_COPIES] = "copies",
 		[PLUG_AGENT_CHECKS] = "checks_awaited",
 	};
 
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -100,6 +100,36 @@
 	uint32_t client_ack;
 };
 
+#define PLUG_KEPT_SEGMENTS 8
+
+/**
+ * struct plug_kept_segment - a client's segment with a request
+ * @tuple: flow
+ * @next_seq: sequence number that follows the segment's data
+ * @kept_at: time when the host got it
+ * @len: length of @bytes; 0 for an unused place
+ * @bytes: the segment as received
+ */
+struct plug_kept_segment {
+	struct plug_tuple tuple;
+	uint32_t next_seq;
+	plug_time kept_at;
+	size_t len;
+	uint8_t bytes[PLUG_SEGMENT_MAX];
+};
+
+/**
+ * struct plug_liveness - copies that show whether a silent host lives
+ * @kept: segments that can be sent again
+ * @unanswered: copies sent since the host last sent a segment
+ * @sent_at: time of the last copy
+ */
+struct plug_liveness {
+	struct plug_kept_segment kept[PLUG_KEPT_SEGMENTS];
+	unsigned int unanswered;
+	plug_time sent_at;
+};
+
 /**
  * struct plug_report_receiver - an entry that gets load reports
  * @address: address of the entry's machine; 0 for an unused slot
@@ -127,6 +157,7 @@
 	PLUG_AGENT_FAILED,    /* requests that the host did not answer */
 	/* Segments that probed whether the host holds their flow. */
 	PLUG_AGENT_PROBES,
+	PLUG_AGENT_COPIES, /* segments that asked a silent host again */
 	PLUG_AGENT_CHECKS, /* health checks that new flows had to wait for */
 	PLUG_AGENT_COUNTERS,
 };
@@ -169,6 +200,7 @@
  * @work_times: work times of the host's requests
  * @handshake_time: time from handing a SYN to the host until the first request
  *   of the flow
+ * @liveness: whether a host that refuses connections lives
  * @admission: new flows that wait for the host
  * @report_receivers: entries that get load reports
  * @next_sweep: time of the next search for expired flows and requests
@@ -200,6 +232,7 @@
 	bool reported_failing;
 	struct plug_worktimes work_times;
 	struct plug_estimate handshake_time;
+	struct plug_liveness liveness;
 	struct plug_admission admission;
 	struct plug_report_receiver
 	    report_receivers[PLUG_TRACK_REPORT_RECEIVERS_MAX];
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -53,6 +53,12 @@
     const struct plug_tuple *tuple, Plug__Holding holding,
     const struct plug_segment *segment);
 
+/* agent_liveness.c: telling a dead host from a busy one */
+void plug_liveness_keep(struct plug_track_agent *agent, plug_time now,
+    const struct plug_segment *segment);
+void plug_liveness_probe(struct plug_track_agent *agent, plug_time now);
+bool plug_liveness_is_open(const struct plug_track_agent *agent, plug_time now);
+
 /* agent_report.c: load reports to entries */
 struct plug_report_receiver *plug_report_get_receiver(
     struct plug_track_agent *agent, plug_time now, uint32_t entry);
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -338,6 +338,48 @@
 }
 END_TEST
 
+/* Guards against the same when a single request takes long: it counted as many
+ * missed answers. Broke the rule FLOW in review/2. */
+START_TEST(host_with_one_long_request_is_not_dead)
+{
+	world_list_only(&world, 0);
+	for (uint16_t port = 1; port <= 10; port++)
+		world_open(&world, 0, port);
+	world.draining[0] = true;
+	world.hosts[0].listening = false;
+	world_check_health(&world, 0);
+	world.hosts[0].request_time = 450 * PLUG_MSEC;
+	world_data(&world, 0, 1);
+	world_run(&world, 600 * PLUG_MSEC);
+	ck_assert_uint_eq(world.clients[1].answers, 2);
+	for (uint16_t port = 1; port <= 10; port++)
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+	ck_assert_uint_gt(world.agents[0].counters[PLUG_AGENT_COPIES], 0);
+}
+END_TEST
+
+/* Guards against clients that wait longer for the end of a dead host, because
+ * copies are sent to it first. */
+START_TEST(copies_do_not_delay_the_verdict)
+{
+	plug_time crashed;
+
+	world_list_only(&world, 0);
+	for (uint16_t port = 1; port <= 20; port++)
+		world_open(&world, 0, port);
+	world_host_crash(&world, 0);
+	crashed = world.now;
+	for (uint16_t port = 1; port <= 10; port++)
+		world_data(&world, 0, port);
+	world_run(&world, PLUG_SEC);
+	for (uint16_t port = 1; port <= 20; port++) {
+		ck_assert_uint_ge(world.clients[port].resets, 1);
+		ck_assert_int_le(world.clients[port].first_reset_at - crashed,
+		    300 * PLUG_MSEC);
+	}
+}
+END_TEST
+
 /* Guards against clients that are never told that their host is dead, as its
  * agent has restarted and knows neither its flows, nor how long requests take,
  * nor how many run at a time. Clients retransmit what is unanswered; the
@@ -1485,6 +1527,8 @@
 	tcase_add_test(flows, flows_of_crashed_host_are_reset);
 	tcase_add_test(flows, fin_of_absent_flow_is_reset);
 	tcase_add_test(flows, slow_host_with_closed_port_is_not_dead);
+	tcase_add_test(flows, host_with_one_long_request_is_not_dead);
+	tcase_add_test(flows, copies_do_not_delay_the_verdict);
 	tcase_add_test(flows, retransmitted_request_is_not_counted);
 	tcase_add_test(flows, restarted_agent_detects_dead_host);
 	tcase_add_test(flows, reused_port_finds_another_host);
