End the wait for copies to a dead host

Cause: a copy was sent every 50 ms without an end, and the verdict waited 50 ms for the answer to the last one; below three copies it waited for ever.

Change: three copies at most; the verdict waits for an answer to the last one only, however many could be sent. A new host starts without kept segments.

Tests: copies_do_not_delay_the_verdict now plays a dead host with idle flows, verdict_needs_no_copies one without; both failed before. The former test had requests on all flows with kept segments, so that it sent no copy.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -190,6 +190,7 @@
 		if (is_new) {
 			plug_host_flow_drop_all(agent, "host_replaced");
 			agent->all_flows_seen = true;
+			agent->liveness = (struct plug_liveness){ 0 };
 			agent->failures = (struct plug_failures){ 0 };
 			agent->reported_failing = false;
 		}
@@ -277,7 +278,7 @@
 		return;
 	plug_liveness_probe(agent, now);
 	if (now - agent->unanswered_since < UNANSWERED_MIN ||
-	    plug_liveness_is_open(agent, now))
+	    plug_liveness_is_awaited(agent, now))
 		return;
 	missed = missed_answers(agent, now);
 	if (missed < MISSED_ANSWERS)
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -57,7 +57,8 @@
 void plug_liveness_keep(struct plug_track_agent *agent, plug_time now,
     const struct plug_segment *segment);
 void plug_liveness_probe(struct plug_track_agent *agent, plug_time now);
-bool plug_liveness_is_open(const struct plug_track_agent *agent, plug_time now);
+bool
+plug_liveness_is_awaited(const struct plug_track_agent *agent, plug_time now);
 
 /* agent_report.c: load reports to entries */
 struct plug_report_receiver *plug_report_get_receiver(
--- a/libplantainlug/track/agent_liveness.c
+++ b/libplantainlug/track/agent_liveness.c
@@ -92,6 +92,7 @@
 	struct plug_liveness *liveness = &agent->liveness;
 
 	if (agent->unanswered_since == 0 ||
+	    liveness->unanswered == COPIES_UNANSWERED ||
 	    now - agent->unanswered_since < COPY_INTERVAL ||
 	    now - liveness->sent_at < COPY_INTERVAL)
 		return;
@@ -114,19 +115,18 @@
 }
 
 /**
- * plug_liveness_is_open() - whether the host may still live
- * @agent: agent
+ * plug_liveness_is_awaited() - whether the host may still answer a copy
+ * @agent: agent, after plug_liveness_probe()
  * @now: current time
  *
- * Return: true while the host has not had the time to answer the copies, false
- * if it hasn't answered them, or none could be sent.
+ * Return: false if the host hasn't answered in time, or no copy could be sent,
+ * as all kept segments belong to flows that have ended or have a new request.
  */
 bool
-plug_liveness_is_open(const struct plug_track_agent *agent, plug_time now)
+plug_liveness_is_awaited(const struct plug_track_agent *agent, plug_time now)
 {
 	const struct plug_liveness *liveness = &agent->liveness;
 
 	return liveness->unanswered > 0 &&
-	       (liveness->unanswered < COPIES_UNANSWERED ||
-		   now - liveness->sent_at < COPY_INTERVAL);
+	       now - liveness->sent_at < COPY_INTERVAL;
 }
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -359,8 +359,10 @@
 END_TEST
 
 /* Guards against clients that wait longer for the end of a dead host, because
- * copies are sent to it first. */
-START_TEST(copies_do_not_delay_the_verdict)
+ * copies are sent to it first, or for ever, because no more can be sent. The
+ * host's clients send requests on the flows from the first to the last one. */
+static void
+expect_dead_in_time(uint16_t first, uint16_t last)
 {
 	plug_time crashed;
 
@@ -369,8 +371,10 @@
 		world_open(&world, 0, port);
 	world_host_crash(&world, 0);
 	crashed = world.now;
-	for (uint16_t port = 1; port <= 10; port++)
+	for (uint16_t port = first; port <= last; port++) {
 		world_data(&world, 0, port);
+		world_run(&world, 10 * PLUG_MSEC);
+	}
 	world_run(&world, PLUG_SEC);
 	for (uint16_t port = 1; port <= 20; port++) {
 		ck_assert_uint_ge(world.clients[port].resets, 1);
@@ -378,6 +382,18 @@
 		    300 * PLUG_MSEC);
 	}
 }
+
+START_TEST(copies_do_not_delay_the_verdict)
+{
+	expect_dead_in_time(11, 20);
+	ck_assert_uint_eq(world.agents[0].counters[PLUG_AGENT_COPIES], 3);
+}
+END_TEST
+
+START_TEST(verdict_needs_no_copies)
+{
+	expect_dead_in_time(1, 20);
+}
 END_TEST
 
 /* Guards against clients that are never told that their host is dead, as its
@@ -1529,6 +1545,7 @@
 	tcase_add_test(flows, slow_host_with_closed_port_is_not_dead);
 	tcase_add_test(flows, host_with_one_long_request_is_not_dead);
 	tcase_add_test(flows, copies_do_not_delay_the_verdict);
+	tcase_add_test(flows, verdict_needs_no_copies);
 	tcase_add_test(flows, retransmitted_request_is_not_counted);
 	tcase_add_test(flows, restarted_agent_detects_dead_host);
 	tcase_add_test(flows, reused_port_finds_another_host);
