--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -598,6 +598,26 @@
 	return next;
 }
 
+/**
+ * plug_host_state_name() - get the name of a host's state in logs
+ * @state: state
+ */
+const char *
+plug_host_state_name(enum plug_host_state state)
+{
+	switch (state) {
+	case PLUG_HOST_UNKNOWN:
+		return "unknown";
+	case PLUG_HOST_UP:
+		return "up";
+	case PLUG_HOST_REFUSING:
+		return "refusing";
+	case PLUG_HOST_DOWN:
+		return "down";
+	}
+	return "-";
+}
+
 /**
  * plug_track_agent_counter_name() - get the name of a counter in metrics
  * @counter: counter; less than PLUG_AGENT_COUNTERS
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -257,6 +257,7 @@
 void plug_track_agent_notice(struct plug_track_agent *agent, plug_time now,
     uint32_t from, const Plug__TrackNotice *notice);
 plug_time plug_track_agent_tick(struct plug_track_agent *agent, plug_time now);
+const char *plug_host_state_name(enum plug_host_state state);
 const char *plug_track_agent_counter_name(enum plug_agent_counter counter);
 
 #endif
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -238,22 +238,6 @@
 		refuse_waiter(agent, waiter, refused.reason);
 }
 
-static const char *
-host_state_name(enum plug_host_state state)
-{
-	switch (state) {
-	case PLUG_HOST_UNKNOWN:
-		return "unknown";
-	case PLUG_HOST_UP:
-		return "up";
-	case PLUG_HOST_REFUSING:
-		return "refusing";
-	case PLUG_HOST_DOWN:
-		return "down";
-	}
-	return "-";
-}
-
 /* Logs that a SYN goes to the host, and the host that its entry chose. */
 static void
 log_handed_syn(const struct plug_track_agent *agent, plug_time now,
@@ -269,7 +253,7 @@
 	    event, text, reason, (unsigned long long)agent->host,
 	    agent->open_flow_count, agent->running, agent->opening,
 	    agent->admission.waiter_count, (unsigned long long)chosen,
-	    host_state_name(agent->host_state), seen_ms(agent, now));
+	    plug_host_state_name(agent->host_state), seen_ms(agent, now));
 }
 
 /* Adds a flow to the table and hands its SYN to the host. */
--- a/net/hostprobe.c
+++ b/net/hostprobe.c
@@ -23,21 +23,6 @@
 	probe->adapter->read_health(line, &probe->health);
 }
 
-static const char *
-state_name(enum plug_host_state state)
-{
-	switch (state) {
-	case PLUG_HOST_UNKNOWN:
-		return "unknown";
-	case PLUG_HOST_UP:
-		return "up";
-	case PLUG_HOST_REFUSING:
-	case PLUG_HOST_DOWN:
-		break;
-	}
-	return "refusing";
-}
-
 /* Hands on an answer of the host or another change; logs changes only. */
 static void
 hand_on(struct plug_hostprobe *probe, const struct plug_host_report *report,
@@ -50,9 +35,10 @@
 	if (changed)
 		plug_client_log(probe->client, PLUG_LOG_INFO,
 		    "event=host_%s host=%s before=%s draining=%d reason=\"%s\"",
-		    state_name(report->state),
+		    plug_host_state_name(report->state),
 		    probe->health.name[0] != '\0' ? probe->health.name : "-",
-		    state_name(probe->last.state), report->draining, reason);
+		    plug_host_state_name(probe->last.state), report->draining,
+		    reason);
 	if (!changed && report->checked_at == probe->last.checked_at)
 		return;
 	probe->last = *report;
