--- a/review/7/play.py
+++ b/review/8/play.py
@@ -38,7 +38,7 @@
 FLOWS = 240
 HEARTBEAT_S = 1.2
 IDLE_MS = 15000        # limits.idle-timeout-ms
-DEADLINE_S = 2.5       # of a request, as bank-confirm of tahseel-amman-grown
+DEADLINE_S = 2.0       # of a request, as bank-confirm of tahseel-amman
 GRACE_S = 2.0          # bounds.flow-grace-ms
 IN_TOUCH_S = 4.0       # bounds.stability-window-ms
 FREEZE_S = 4.0         # node_freeze, for_s
@@ -561,7 +561,7 @@
 def main():
     status = 2
     try:
-        with tempfile.TemporaryDirectory(prefix="review-7-") as folder:
+        with tempfile.TemporaryDirectory(prefix="review-8-") as folder:
             try:
                 status = play(folder)
             except CannotRun as error:
