--- a/review/8/play.py
+++ b/review/8/play.py
@@ -32,7 +32,7 @@
 ENTRIES = ["127.10.0.%d" % i for i in range(1, 5)]
 SIDES = ["127.20.0.%d" % i for i in range(1, 6)]
 CLIENT, STORE = "127.30.0.1", "127.40.0.1"
-VIP = ("198.18.0.1", 443)
+VIP = ("127.50.0.1", 443)
 ZONE, SERVICE = "zone-a", "disburse"
 
 FLOWS = 240
