--- a/review/8/play.py
+++ b/review/8/play.py
@@ -560,13 +560,15 @@
 
 def main():
     status = 2
+    # So that an interrupted run ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         with tempfile.TemporaryDirectory(prefix="review-8-") as folder:
             try:
                 status = play(folder)
-            except CannotRun as error:
-                record("could not run: %s" % error)
-                print("could not run: %s" % error)
+            except Exception as error:
+                record("could not run: %r" % error)
+                print("could not run: %r" % error)
             finally:
                 for process in processes:
                     if process.poll() is None:
