--- a/tests/process/restored.py
+++ b/tests/process/restored.py
@@ -250,8 +250,8 @@
         self.next_host += 1
         return self.put("servers/i-%d" % self.next_host, {"service": "s",
             "address": "127.0.2.%d:9" % self.next_host, "zone": "z",
-            "slots": 2, "state": "ready", "cold-remaining-ms": 0,
-            "born": self.next_host})
+            "version": "v", "slots": 2, "state": "ready",
+            "cold-remaining-ms": 0, "seq": 1, "born": self.next_host})
 
 
 class Entry:
--- a/tests/process/reused.py
+++ b/tests/process/reused.py
@@ -229,8 +229,9 @@
         name = "i-%d" % self.count
         items = dict(tracking.Store.items)
         items["servers/" + name] = {"service": service, "address": "%s:%d" %
-            (machine.address, self.app), "zone": "z", "slots": 8,
-            "state": "ready", "cold-remaining-ms": 0, "born": self.count}
+            (machine.address, self.app), "zone": "z", "version": "v",
+            "slots": 8, "state": "ready", "cold-remaining-ms": 0, "seq": 1,
+            "born": self.count}
         tracking.Store.items = items
         tracking.Store.revision += 1
         tracking.Store.left_after = tracking.Store.revision
--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -119,6 +119,13 @@
             ("cold-remaining-ms", 2 ** 63 - 1), ("born", 10 ** 300),
             ("address", host["address"].split(":")[0] + ":99999"))):
         Store.items["servers/odd-%d" % i] = {**host, field: value}
+    # Each lacks a field and would displace the host: it names the host's
+    # machine and a later start.
+    later = {**host, "address": SIDE + ":9", "born": int(time.time() * 1000)}
+    for field in host:
+        if field not in ("address", "born"):
+            Store.items["servers/lacks-" + field] = {
+                name: value for name, value in later.items() if name != field}
 
 
 def serve(address, handler):
@@ -191,8 +198,9 @@
                 "prefix": "/%d/" % SERVICE[1], "service": "s"}],
                 "services": [{"name": "s", "health-path": "/health"}]},
             "servers/i-1": {"service": "s", "address": "%s:%d" %
-                (SIDE, self.app), "zone": "z", "slots": 2, "state": "ready",
-                "cold-remaining-ms": 0},
+                (SIDE, self.app), "zone": "z", "version": "v", "slots": 2,
+                "state": "ready", "cold-remaining-ms": 0, "seq": 1,
+                "born": 1},
             "servers/foreign": {"state": 5},
         }
         add_odd_entries()
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -265,6 +265,51 @@
 }
 END_TEST
 
+/* Guards against an entry of another writer that lacks a field which all hosts
+ * write, or has it in another type, and is taken for a host that displaces the
+ * one which runs on that machine. */
+START_TEST(entry_without_a_field_names_no_host)
+{
+	static const struct {
+		const char *name;
+		const char *value;
+		const char *other_type;
+	} fields[] = { { "service", "\"s\"", "1" },
+		{ "address", "\"10.0.0.1:80\"", "1" }, { "zone", "\"z\"", "1" },
+		{ "version", "\"v\"", "1" }, { "slots", "3", "\"3\"" },
+		{ "state", "\"ready\"", "true" },
+		{ "cold-remaining-ms", "0", "\"0\"" },
+		{ "seq", "1", "\"1\"" } };
+	static const char *const odd[] = { "null", "[]", "{}" };
+	const size_t count = sizeof(fields) / sizeof(fields[0]);
+	const size_t odd_count = sizeof(odd) / sizeof(odd[0]);
+
+	for (size_t changed = 0; changed < count; changed++) {
+		/* The field is missing, of another type, or one of odd[]. */
+		for (size_t how = 0; how < 2 + odd_count; how++) {
+			char text[256] = "{\"born\":77";
+
+			for (size_t i = 0; i < count; i++) {
+				const char *value = fields[i].value;
+				const size_t len = strlen(text);
+
+				if (i == changed && how == 0)
+					continue;
+				if (i == changed)
+					value = how == 1 ? fields[i].other_type
+							 : odd[how - 2];
+				(void)snprintf(text + len, sizeof(text) - len,
+				    ",\"%s\":%s", fields[i].name, value);
+			}
+			ck_assert_uint_lt(strlen(text) + 2, sizeof(text));
+			strcat(text, "}");
+			ck_assert_msg(
+			    !read_between_others(text)->readable, "%s", text);
+		}
+	}
+}
+END_TEST
+
 /* Guards against an entry that exhausts the stack or ends the reading of the
  * list, as it is nested as deeply as the size of a value allows. */
 START_TEST(deeply_nested_entry_names_no_host)
@@ -524,6 +569,7 @@
 	tcase_add_test(test, host_list);
 	tcase_add_test(test, unreadable_entries_leave_the_others);
 	tcase_add_test(test, odd_entries_name_no_host);
+	tcase_add_test(test, entry_without_a_field_names_no_host);
 	tcase_add_test(test, deeply_nested_entry_names_no_host);
 	tcase_add_test(test, operators_part);
 	tcase_add_test(test, broken_answers_are_refused);
