Let an agent's report decide between hosts listed at one machine

What callers would see: while an entry of another writer that has all fields stands at a host's machine with a later start, the host gets no new flows, and with one at each machine nothing is served.

Cause: the list alone decided which host runs on a machine. An agent knows it and tells it with each refusal and report, which went unused for a superseded host.

Why this works: the first flow for the entry that doesn't run is refused with the running host's load; the entry itself is then overdue, as no report names it.

Tests: running_host_is_not_displaced_by_the_list failed before (no SYN+ACK); replaced_host_is_not_chosen_by_an_old_report fails when any report counts.

--- a/libplantainlug/track/balance.c
+++ b/libplantainlug/track/balance.c
@@ -46,12 +46,14 @@
 /**
  * plug_balance_adopt() - replace the snapshot
  * @balance: balance; keeps the loads of hosts that are in both snapshots
+ * @now: current time
  * @fleet: new snapshot; takes over the caller's reference, also on failure
  *
  * Return: false when out of memory, with the old snapshot still in place.
  */
 bool
-plug_balance_adopt(struct plug_balance *balance, struct plug_fleet *fleet)
+plug_balance_adopt(
+    struct plug_balance *balance, plug_time now, struct plug_fleet *fleet)
 {
 	struct plug_host_load *loads =
 	    calloc(fleet->host_count + 1, sizeof(*loads));
@@ -68,6 +70,10 @@
 			loads[i] = *previous;
 		else
 			loads[i].accepting = true;
+		if (!fleet->hosts[i].superseded)
+			loads[i].superseded_at = 0;
+		else if (loads[i].superseded_at == 0)
+			loads[i].superseded_at = now;
 	}
 	plug_balance_finish(balance);
 	balance->fleet = fleet;
@@ -228,6 +234,16 @@
 	return false;
 }
 
+/* Whether a later host has replaced a host at its address. An agent knows which
+ * host runs on its machine, so a report after the list showed the later one
+ * goes before the list. */
+static bool
+is_replaced(
+    const struct plug_fleet_host *host, const struct plug_host_load *load)
+{
+	return host->superseded && load->reported_at <= load->superseded_at;
+}
+
 static bool
 is_eligible(const struct plug_balance *balance, unsigned int index,
     plug_time now, uint64_t service, const struct plug_excluded_hosts *excluded)
@@ -236,7 +252,7 @@
 	const struct plug_host_load *load = &balance->host_loads[index];
 
 	return host->service == service && !host->draining &&
-	       !host->superseded &&
+	       !is_replaced(host, load) &&
 	       !plug_fleet_domain_is_out(balance->fleet, host->domain) &&
 	       !is_excluded(excluded, host->id) && load->accepting &&
 	       now >= load->avoid_until &&
--- a/libplantainlug/track/balance.h
+++ b/libplantainlug/track/balance.h
@@ -19,6 +19,8 @@
  * @flows_sent: new flows sent to the host since the last report
  * @first_sent_at: when the first of @flows_sent was sent; 0 if there is none
  * @avoid_until: the host is not chosen before this time; set by a refusal
+ * @superseded_at: when the first snapshot was adopted that lists a later host
+ * at the same address; 0 while there is none
  */
 struct plug_host_load {
 	uint32_t flows;
@@ -31,6 +33,7 @@
 	uint32_t flows_sent;
 	plug_time first_sent_at;
 	plug_time avoid_until;
+	plug_time superseded_at;
 };
 
 /**
@@ -55,7 +58,8 @@
 
 void plug_balance_init(struct plug_balance *balance);
 void plug_balance_finish(struct plug_balance *balance);
-bool plug_balance_adopt(struct plug_balance *balance, struct plug_fleet *fleet);
+bool plug_balance_adopt(
+    struct plug_balance *balance, plug_time now, struct plug_fleet *fleet);
 struct plug_host_load *
 plug_balance_host_load(const struct plug_balance *balance, uint64_t host);
 void plug_balance_record_report(
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -709,7 +709,7 @@
 plug_track_entry_adopt(
     struct plug_track_entry *entry, plug_time now, struct plug_fleet *fleet)
 {
-	if (!plug_balance_adopt(&entry->balance, fleet))
+	if (!plug_balance_adopt(&entry->balance, now, fleet))
 		return;
 	for (struct plug_lookup *lookup = entry->lookups; lookup != NULL;
 	     lookup = lookup->next)
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -877,6 +877,42 @@
 }
 END_TEST
 
+/* Guards against hosts that get no flows while the list shows, at the addresses
+ * of their machines, hosts that started later but don't run: entries of another
+ * writer that have all fields. */
+START_TEST(running_host_is_not_displaced_by_the_list)
+{
+	for (unsigned int i = 0; i < world.host_count; i++)
+		world.has_later_entry[i] = true;
+	world_restart_entry(&world, 0);
+	for (uint16_t port = 1; port <= 60; port++) {
+		world_syn(&world, 0, port);
+		world_run(&world, 30 * PLUG_MSEC);
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+		ck_assert_uint_ge(world.clients[port].syn_acks, 1);
+		world_adopt(&world, 0, false);
+	}
+}
+END_TEST
+
+/* Guards against flows for a host that has been replaced: what its agent said
+ * before the list showed the next host doesn't count. */
+START_TEST(replaced_host_is_not_chosen_by_an_old_report)
+{
+	world_list_only(&world, 0);
+	world_open(&world, 0, 1);
+	world_close(&world, 0, 1);
+	world_run(&world, PLUG_SEC);
+	world.has_later_entry[0] = true;
+	world.agent_nodes[0].isolated = true;
+	world_adopt(&world, 0, true);
+	world_syn(&world, 0, 2);
+	world_run(&world, 50 * PLUG_MSEC);
+	ck_assert_uint_eq(world.entries[0].balance.host_loads[0].flows_sent, 0);
+	ck_assert_uint_eq(world.entries[0].balance.host_loads[1].flows_sent, 1);
+}
+END_TEST
+
 /* Guards against more new flows than a cold host can handle, over all entries
  * and a restart of its agent: in any second at most 1.5 times the rate and 5
  * more. */
@@ -1567,6 +1603,8 @@
 	tcase_add_test(flows, late_segment_does_not_show_that_the_host_runs);
 	tcase_add_test(flows, idle_host_gets_a_new_flow_at_once);
 	tcase_add_test(flows, callers_of_a_replaced_host_are_served_elsewhere);
+	tcase_add_test(flows, running_host_is_not_displaced_by_the_list);
+	tcase_add_test(flows, replaced_host_is_not_chosen_by_an_old_report);
 	tcase_add_test(flows, new_flows_of_cold_host_are_limited);
 	tcase_add_test(flows, simultaneous_clients_are_queued);
 	tcase_add_test(flows, overload_leaves_most_answers_in_time);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -35,6 +35,10 @@
 #define AGENT_ADDRESS 0x0a000100U
 #define TICK_INTERVAL (PLUG_MSEC)
 
+/* Distance of the ids of a host and of the later one that is listed beside it,
+ * see world.has_later_entry. */
+#define LATER_ENTRY_ID 10000
+
 /* Distance between the sequence numbers of successive connections of a port. */
 #define CONNECTION_SEQ_STEP 1000000U
 
@@ -268,7 +272,7 @@
 		};
 	}
 	plug_config_complete(config);
-	fleet = plug_fleet_create(config, world->host_count);
+	fleet = plug_fleet_create(config, 2 * world->host_count);
 	plug_config_release(config);
 	for (unsigned int i = 0; i < world->host_count; i++) {
 		if (!world->listed[i])
@@ -284,7 +288,13 @@
 			.slots = world->hosts[i].slots,
 			.draining = world->draining[i],
 			.cold_until = world->cold_until[i],
+			.started_ms = 1,
 		};
+		if (!world->has_later_entry[i])
+			continue;
+		fleet->hosts[count] = fleet->hosts[count - 1];
+		fleet->hosts[count].id += LATER_ENTRY_ID;
+		fleet->hosts[count++].started_ms = 2;
 	}
 	fleet->host_count = count;
 	fleet->consistent_read_at = consistent	  ? world->now
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -146,6 +146,8 @@
  *   when warm
  * @cold_per_s: new flows per second that a cold host of WORLD_SERVICE gets, in
  *   the next snapshots; 0 for no limit
+ * @has_later_entry: hosts beside which the next snapshots list another one,
+ * with a later start, that doesn't run
  * @in_second_service: hosts that belong to WORLD_SECOND_SERVICE in the next
  *   snapshots
  * @second_weight: weight of WORLD_SECOND_SERVICE in the route in the next
@@ -176,6 +178,7 @@
 	struct world_message messages[WORLD_MESSAGES_MAX];
 	bool listed[WORLD_HOSTS_MAX];
 	bool draining[WORLD_HOSTS_MAX];
+	bool has_later_entry[WORLD_HOSTS_MAX];
 	plug_time cold_until[WORLD_HOSTS_MAX];
 	double cold_per_s;
 	bool in_second_service[WORLD_HOSTS_MAX];
