Log how much of an answer had arrived when a read of the store failed

The log said store_lost part=operators reason="timeout", which is the same for a store that is silent and for an answer that is arriving.

Change: store_lost names the read, the bytes that had arrived and the time since the page was asked for.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -36,6 +36,7 @@
  * @path: path and query of the GET
  * @timer: ends a GET that takes too long
  * @left_ms: milliseconds that it may take after the next expiry of @timer
+ * @received: bytes of the answer that have arrived
  * @connected: @connection is open and kept for the next GET
  * @reused: the GET uses a connection that was kept
  * @starting: the GET is just being started, so that its end is a failure of
@@ -53,6 +54,7 @@
 	char path[PLUG_FETCH_URL_SIZE];
 	struct event *timer;
 	long left_ms;
+	size_t received;
 	bool connected;
 	bool reused;
 	bool starting;
@@ -150,10 +152,11 @@
 }
 
 static void
-finish(struct plug_fetch_slot *slot, const struct plug_fetch_answer *answer)
+finish(struct plug_fetch_slot *slot, struct plug_fetch_answer *answer)
 {
 	slot->request = NULL;
 	(void)evtimer_del(slot->timer);
+	answer->received = slot->received;
 	/* The handler may destroy the slot. */
 	slot->handlers.done(slot->handlers.data, answer);
 }
@@ -254,13 +257,32 @@
 	slot->connected = false;
 }
 
+static void
+on_received(
+    struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *data)
+{
+	struct plug_fetch_slot *slot = data;
+
+	(void)buffer;
+	if (slot->request != NULL)
+		slot->received += info->n_added;
+}
+
 static bool
 open_connection(struct plug_fetch_slot *slot)
 {
+	struct evbuffer *input;
+
 	slot->connection = evhttp_connection_base_new(
 	    plug_loop_base(slot->loop), NULL, slot->host, slot->port);
 	if (slot->connection == NULL)
 		return false;
+	input = bufferevent_get_input(
+	    evhttp_connection_get_bufferevent(slot->connection));
+	if (evbuffer_add_cb(input, on_received, slot) == NULL) {
+		close_connection(slot);
+		return false;
+	}
 	evhttp_connection_set_closecb(slot->connection, on_close, slot);
 	evhttp_connection_set_max_headers_size(slot->connection, HEADERS_MAX);
 	evhttp_connection_set_max_body_size(
@@ -276,6 +298,7 @@
 	char host[INET_ADDRSTRLEN + 8];
 
 	slot->reused = slot->connected;
+	slot->received = 0;
 	slot->error = ERROR_CONNECT;
 	if (slot->connection == NULL && !open_connection(slot))
 		return false;
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -10,6 +10,8 @@
  * @status: HTTP status; 0 when there was no complete answer
  * @body: body; borrowed for the call
  * @reason: text for the log when @status is 0
+ * @received: bytes of the answer that have arrived, those of its header
+ * included
  * @refused: the connection could not be opened, as nothing listens at the
  *   address
  */
@@ -17,6 +19,7 @@
 	long status;
 	struct plug_str body;
 	const char *reason;
+	size_t received;
 	bool refused;
 };
 
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -36,6 +36,7 @@
  * @query: query under way, or the next one
  * @due: time of the next query
  * @began: time when the first page was asked for
+ * @asked_at: time when the current page was asked for
  * @position: position of the store at the first page
  * @generation: generation of the store that the last answer names; 0 when it
  *   names none
@@ -47,6 +48,7 @@
 	struct plug_store_query query;
 	plug_time due;
 	plug_time began;
+	plug_time asked_at;
 	struct plug_store_position position;
 	uint64_t generation;
 	struct plug_backoff backoff;
@@ -249,8 +251,22 @@
 	}
 }
 
+static const char *
+part_name(const struct part *part)
+{
+	switch (part->query.what) {
+	case PLUG_STORE_OPERATORS:
+		return "operators";
+	case PLUG_STORE_CHANGES:
+		return "changes";
+	case PLUG_STORE_HOSTS:
+		return "hosts";
+	}
+	return "-";
+}
+
 static void
-fail(struct part *part, plug_time now, const char *reason)
+fail(struct part *part, plug_time now, const char *reason, size_t received)
 {
 	struct plug_storereader *reader = part->reader;
 
@@ -258,9 +274,12 @@
 	plug_storeview_note_failure(&reader->view, now);
 	if (part->backoff.failures == 0)
 		plug_client_log(reader->client, PLUG_LOG_WARN,
-		    "event=store_lost part=%s reason=\"%s\" revision=%llu",
+		    "event=store_lost part=%s reason=\"%s\" revision=%llu "
+		    "read=%s received=%zu after_ms=%lld",
 		    part == &reader->hosts ? "hosts" : "operators", reason,
-		    (unsigned long long)part->position.revision);
+		    (unsigned long long)part->position.revision,
+		    part_name(part), received,
+		    (long long)((now - part->asked_at) / PLUG_MSEC));
 	part->due = now + plug_backoff_fail(&part->backoff, reader->client);
 	part->query.cursor[0] = '\0';
 	if (part == &reader->hosts && !part->query.may_lag)
@@ -292,20 +311,6 @@
 	(void)part->reader->adapter->read_store_header(line, &part->generation);
 }
 
-static const char *
-part_name(const struct part *part)
-{
-	switch (part->query.what) {
-	case PLUG_STORE_OPERATORS:
-		return "operators";
-	case PLUG_STORE_CHANGES:
-		return "changes";
-	case PLUG_STORE_HOSTS:
-		return "hosts";
-	}
-	return "-";
-}
-
 /* After a restore of the store, the operators' part is read at once: a read
  * that waits for changes might do so for seconds. */
 static void
@@ -338,22 +343,25 @@
 	if (answer->status != STATUS_OK) {
 		(void)snprintf(
 		    reason, sizeof(reason), "status %ld", answer->status);
-		fail(part, now, answer->status == 0 ? answer->reason : reason);
+		fail(part, now, answer->status == 0 ? answer->reason : reason,
+		    answer->received);
 		return false;
 	}
 	plug_status_init(&status);
 	if (!first && part->generation != part->position.generation) {
-		fail(part, now, "the store was restored between two pages");
+		fail(part, now, "the store was restored between two pages",
+		    answer->received);
 		return false;
 	}
 	if (reader->adapter->read_answer(
 		answer->body, item, reader, page, &status) != PLUG_OK) {
-		fail(part, now, status.message);
+		fail(part, now, status.message, answer->received);
 		return false;
 	}
 	if (!first && page->more &&
 	    strcmp(page->cursor, part->query.cursor) == 0) {
-		fail(part, now, "a page ends where the one before did");
+		fail(part, now, "a page ends where the one before did",
+		    answer->received);
 		return false;
 	}
 	succeeded(part, now);
@@ -475,6 +483,7 @@
 		timeout += part->query.wait_ms;
 	if (part->query.cursor[0] == '\0')
 		part->began = now;
+	part->asked_at = now;
 	part->generation = 0;
 	reader->counters[PLUG_STORE_CALLS]++;
 	if (part->query.may_lag)
@@ -482,7 +491,7 @@
 	if (!reader->adapter->query_url(
 		&part->query, reader->store, url, sizeof(url)) ||
 	    !plug_fetch_start(part->slot, url, timeout))
-		fail(part, now, "the query can't be started");
+		fail(part, now, "the query can't be started", 0);
 }
 
 /**
