Let a read of the store take any time while its answer arrives

Cause: each read had 1 s in all. The complete read takes 1 s on such a link, was cut off just before its end and repeated for ever: store_lost part=operators read=operators received=1261568 after_ms=1001.

Ruled out: the store (entries with 200 Mbit/s came back within a second), decoding (the answer was not complete), the back-off.

Change: the time limit of a read holds until its answer begins to arrive, then the read fails when nothing has arrived for 1 s. Health checks keep the limit for the whole answer, as their age counts.

--- a/net/fetch.c
+++ b/net/fetch.c
@@ -34,8 +34,9 @@
  * @port: its port
  * @request: GET under way, or NULL
  * @path: path and query of the GET
- * @timer: ends a GET that takes too long
- * @left_ms: milliseconds that it may take after the next expiry of @timer
+ * @timer: ends a GET that takes too long or whose answer stops arriving
+ * @left_ms: milliseconds that it may take after the next expiry of @timer; 0
+ * once the answer arrives, if handlers set stall_ms
  * @received: bytes of the answer that have arrived
  * @connected: @connection is open and kept for the next GET
  * @reused: the GET uses a connection that was kept
@@ -264,8 +265,13 @@
 	struct plug_fetch_slot *slot = data;
 
 	(void)buffer;
-	if (slot->request != NULL)
-		slot->received += info->n_added;
+	if (slot->request == NULL || info->n_added == 0)
+		return;
+	slot->received += info->n_added;
+	if (slot->handlers.stall_ms == 0)
+		return;
+	slot->left_ms = 0;
+	arm_timer(slot, slot->handlers.stall_ms);
 }
 
 static bool
@@ -351,7 +357,8 @@
  * plug_fetch_start() - start a GET
  * @slot: slot that isn't busy
  * @url: URL with a numeric address and a port
- * @timeout_ms: milliseconds until it fails
+ * @timeout_ms: milliseconds until it fails; with handlers that set stall_ms,
+ * until it fails unless the answer has begun to arrive
  *
  * Return: false when the URL is wrong or libevent failed.
  */
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -29,12 +29,15 @@
  * @done: the GET has ended, and the next one may be started
  * @data: first argument of both
  * @body_max: bytes of an answer's body; a longer one is an error
+ * @stall_ms: milliseconds without a byte after which an answer that has begun
+ * to arrive fails; 0 if the timeout of the GET holds for the whole answer
  */
 struct plug_fetch_handlers {
 	void (*header)(void *data, struct plug_str line);
 	void (*done)(void *data, const struct plug_fetch_answer *answer);
 	void *data;
 	size_t body_max;
+	long stall_ms;
 };
 
 struct plug_fetch_slot;
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -15,7 +15,14 @@
 /* A page has at most about 1 MB of values, in base64. */
 #define ANSWER_SIZE_MAX ((size_t)4 * 1024 * 1024)
 
-#define ANSWER_MS 1000L /* answers take 4 ms, or 60 times as long when slow */
+/* Until an answer begins to arrive. It takes 4 ms, or 60 times as long when the
+ * store is slow. */
+#define ANSWER_MS 1000L
+
+/* An answer may take any time as long as it arrives: the largest configuration
+ * takes over 1 s on a link of 10 Mbit/s. Without a byte for this long, its
+ * connection has gone silent. */
+#define STALL_MS 1000L
 
 /* Reads of the host list that may lag cost a tenth of an exact one. */
 #define HOSTS_PERIOD (700 * PLUG_MSEC)
@@ -91,6 +98,7 @@
 		.done = done,
 		.data = part,
 		.body_max = ANSWER_SIZE_MAX,
+		.stall_ms = STALL_MS,
 	};
 
 	part->reader = reader;
--- /dev/null
+++ b/tests/process/slowlink.py
@@ -0,0 +1,160 @@
+"""Plays a store with the largest configuration to an entry on a slow link.
+
+The store is that of restored.py, the entry is a real process. Its link has 10
+Mbit/s, and the configuration's value is as large as the platform allows. Guards
+against an entry that cuts off each read while its answer arrives: it never gets
+ready, or never learns of a change again after the store has dropped its
+history. Prints one line for each step and exits with 1 when a check fails.
+
+usage: slowlink.py PROGRAM
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import restored
+from ports import free_port
+from restored import Failed, Handler, Store, step
+
+LINK = 10e6 / 8        # bytes a second
+VALUE_MAX = 1048576    # bytes of a value
+CHUNK = 12500          # bytes sent at a time
+APPLY = 5.0            # seconds until a change is in force on such a link
+GENEROUS = 20.0        # seconds for a condition without a bound
+LOG_LINES = 30         # shown after a failure
+
+
+class Link:
+    """Serves the store's answers at the bandwidth of one link."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.free_at = 0.0
+
+    def send(self, file, data):
+        for at in range(0, len(data), CHUNK):
+            chunk = data[at:at + CHUNK]
+            with self.lock:
+                start = max(time.monotonic(), self.free_at)
+                self.free_at = start + len(chunk) / LINK
+                until = self.free_at
+            time.sleep(max(0, until - time.monotonic()))
+            file.write(chunk)
+
+
+class SlowHandler(Handler):
+    def watch(self, store, query):
+        """As in a store that also tells reads that wait of a dropped history."""
+        answer = super().watch(store, query)
+        if int(query["after"]) < store.oldest:
+            return 410, store.generation, {}
+        return answer
+
+    def reply(self, status, generation, body):
+        text = json.dumps(body).encode()
+        try:
+            self.send_response(status)
+            self.send_header("Store-Era", str(generation))
+            self.send_header("Content-Length", str(len(text)))
+            self.end_headers()
+            self.server.link.send(self.wfile, text)
+        except OSError:
+            pass  # the entry has given the read up
+
+
+class Entry:
+    def __init__(self, program, folder, store):
+        self.log = os.path.join(folder, "entry.log")
+        server = restored.serve(store, self, SlowHandler)
+        server.link = Link()
+        path = os.path.join(folder, "entry.json")
+        with open(path, "w") as file:
+            json.dump({"role": "entry", "name": "entry", "domain": "north",
+                "segments": "127.0.0.1:%d" % free_port(),
+                "ready": "127.0.0.1:%d" % free_port(),
+                "store": "127.0.0.4:%d" % server.server_address[1],
+                "notice_port": free_port()}, file)
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen([program, "tracking-entry",
+                "--config", path], stderr=log)
+
+    def wait_for(self, what, text, limit, since=None):
+        """Waits until the log has a text, for limit seconds from since."""
+        start = time.monotonic() if since is None else since
+        while time.monotonic() < start + limit:
+            with open(self.log) as file:
+                if text in file.read():
+                    step(what=what, after_s="%.1f" %
+                        (time.monotonic() - start), result="pass")
+                    return
+            time.sleep(0.02)
+        step(what=what, limit_s=limit, result="fail")
+        raise Failed(what)
+
+
+def config(version):
+    """A configuration whose value is as large as values may be."""
+    def text(count):
+        return {"version": version, "routes": [{"name": "r-%06d" % i,
+            "host": "198.18.%d.%d" % (i // 250, i % 250 + 1),
+            "prefix": "/443/", "kind": "idempotent", "timeout-ms": 800,
+            "target-latency-ms": 250, "priority": 2, "service": "s",
+            "max-attempts": 2} for i in range(count)],
+            "services": [{"name": "s", "health-path": "/health"}]}
+    two, one = (len(json.dumps(text(count))) for count in (2, 1))
+    return text((VALUE_MAX - one) // (two - one))
+
+
+def write(store, key, value):
+    with store.changed:
+        store.write(key, value)
+    return time.monotonic()
+
+
+def drop_history(store):
+    with store.changed:
+        store.revision += 1
+        store.oldest = store.revision
+        store.history = []
+
+
+def play(program, folder):
+    store = Store()
+    write(store, "op/config", config(1))
+    write(store, "servers/i-1", {"service": "s", "address": "127.0.2.1:9",
+        "zone": "south", "version": "v", "slots": 2, "state": "ready",
+        "cold-remaining-ms": 0, "seq": 1, "born": 1})
+    entry = Entry(program, folder, store)
+    try:
+        entry.wait_for("ready_with_the_largest_configuration", "event=ready",
+            GENEROUS)
+        drop_history(store)
+        entry.wait_for("history_dropped", "event=store_history_dropped",
+            GENEROUS)
+        at = write(store, "op/config", config(2))
+        entry.wait_for("change_in_force", "event=config_adopted version=2",
+            APPLY, at)
+        at = write(store, "op/evacuate/south", {})
+        entry.wait_for("domain_out", "event=domain_out", APPLY, at)
+    except Failed:
+        with open(entry.log) as file:
+            print("".join(file.readlines()[-LOG_LINES:]), end="")
+        return 1
+    finally:
+        entry.process.kill()
+        entry.process.wait()
+    return 0
+
+
+def main():
+    with tempfile.TemporaryDirectory(prefix="plantainlug-") as folder:
+        sys.exit(play(os.path.abspath(sys.argv[1]), folder))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/unit/test_fetch.c
+++ b/tests/unit/test_fetch.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/clock.h"
 #include "net/fetch.h"
 #include "suites.h"
 
@@ -33,6 +34,7 @@
 /* The last result. */
 static unsigned int done_count;
 static long status;
+static size_t received;
 static bool refused;
 static char body[64], header[64];
 
@@ -51,17 +53,28 @@
 	done_count++;
 	status = answer->status;
 	refused = answer->refused;
+	received = answer->received;
 	(void)plug_str_copy(answer->body, body, sizeof(body));
 }
 
 static void
-setup(void)
+create_slot(long stall_ms)
 {
 	const struct plug_fetch_handlers handlers = {
 		.header = on_header,
 		.done = on_done,
 		.body_max = 32,
+		.stall_ms = stall_ms,
 	};
+
+	plug_fetch_slot_destroy(slot);
+	slot = plug_fetch_slot_create(loop, &handlers);
+	ck_assert_ptr_nonnull(slot);
+}
+
+static void
+setup(void)
+{
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
@@ -81,8 +94,8 @@
 	    ntohs(address.sin_port));
 	loop = plug_loop_create();
 	ck_assert_ptr_nonnull(loop);
-	slot = plug_fetch_slot_create(loop, &handlers);
-	ck_assert_ptr_nonnull(slot);
+	slot = NULL;
+	create_slot(0);
 	done_count = 0;
 	header[0] = '\0';
 }
@@ -275,6 +288,78 @@
 }
 END_TEST
 
+/* Sends @count bytes of a body, one after each @gap. */
+static void
+send_slowly(unsigned int count, plug_time gap)
+{
+	for (unsigned int i = 0; i < count && done_count == 0; i++) {
+		const plug_time end = plug_clock_now() + gap;
+
+		ck_assert_int_eq(
+		    send(server.connection, "x", 1, MSG_NOSIGNAL), 1);
+		while (plug_clock_now() < end)
+			plug_loop_wait(loop, PLUG_MSEC);
+	}
+}
+
+/* Starts a GET with a timeout of 200 ms and lets the header of an answer with a
+ * body of @len bytes arrive. */
+static void
+begin_answer(unsigned int len)
+{
+	char text[64];
+
+	(void)snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", len);
+	server.answer = text;
+	ck_assert(plug_fetch_start(slot, url, 200));
+	for (unsigned int i = 0; server.requests == 0; i++) {
+		ck_assert_uint_lt(i, ROUNDS);
+		serve();
+		plug_loop_wait(loop, PLUG_MSEC);
+	}
+	server.answer = NULL;
+}
+
+/* Guards against a read that is cut off while its answer arrives, and is
+ * repeated for ever as each attempt takes as long: a large configuration on a
+ * slow link. */
+START_TEST(arriving_answer_is_waited_for)
+{
+	create_slot(1000);
+	begin_answer(10);
+	send_slowly(10, 50 * PLUG_MSEC);
+	run_until(1);
+	ck_assert_int_eq(status, 200);
+	ck_assert_str_eq(body, "xxxxxxxxxx");
+}
+END_TEST
+
+/* Guards against a read that waits for ever on a connection that has gone
+ * silent in the middle of an answer. */
+START_TEST(stalled_answer_is_a_failure)
+{
+	create_slot(100);
+	begin_answer(10);
+	send_slowly(3, 10 * PLUG_MSEC);
+	run_until(1);
+	ck_assert_int_eq(status, 0);
+	ck_assert_uint_eq(received, strlen("HTTP/1.1 200 OK\r\n"
+					   "Content-Length: 10\r\n\r\nxxx"));
+}
+END_TEST
+
+/* Guards against a health check without an end: its timeout holds for the whole
+ * answer. */
+START_TEST(arriving_answer_of_a_check_is_not_waited_for)
+{
+	begin_answer(30);
+	send_slowly(30, 20 * PLUG_MSEC);
+	ck_assert_uint_eq(done_count, 1);
+	ck_assert_int_eq(status, 0);
+}
+END_TEST
+
 Suite *
 fetch_suite(void)
 {
@@ -290,6 +375,9 @@
 	tcase_add_test(gets, second_copy_of_an_answer_is_dropped);
 	tcase_add_test(gets, closed_connection_is_noticed);
 	tcase_add_test(gets, unanswered_get_is_sent_again);
+	tcase_add_test(gets, arriving_answer_is_waited_for);
+	tcase_add_test(gets, stalled_answer_is_a_failure);
+	tcase_add_test(gets, arriving_answer_of_a_check_is_not_waited_for);
 	suite_add_tcase(suite, gets);
 	return suite;
 }
