Count the probes of all entries for a flow at wrong hosts

What callers saw: all agents had been restarted, one was frozen, and two entries left one after the other.

Cause: while an agent is silent, an entry lets two unsure hosts be probed with a segment of the flow. Each entry counted for itself, and neither the agents nor the entries kept what a host had returned, so that the next entry probed again.

Ruled out: the lookup of one entry, which kept to two probes over all retransmissions.

Change: an agent remembers a flow of which its host has returned a segment for as long as a lookup lasts, answers that the host doesn't hold it, and hands over no further segment of it before a new SYN. Each answer tells whether the host was handed a segment that it has returned or not answered yet; an entry counts these like its own probes. When all agents have answered, all unsure hosts are probed as before.

Why this works: the agent is the only one that hands segments to its host, so what the agents say adds up to all probes, whichever entry sent them.

Tests: few_probes_by_several_entries, few_probes_by_an_entry_without_the_client and returned_flow_may_be_opened_anew failed before (each also when the answer's flag is ignored, or the returned flow is not remembered).

Not changed: while an agent is silent, a flow whose host isn't among the two is not served.

--- a/libplantainlug/track/action.h
+++ b/libplantainlug/track/action.h
@@ -35,6 +35,10 @@
 	const Plug__TrackNotice *notice;
 };
 
+/* A lookup of an entry for the host of a flow ends after this time. Clients
+ * retransmit for as long: eight retransmissions of a FIN take 11 s. */
+#define PLUG_LOOKUP_TIME (15 * PLUG_SEC)
+
 /**
  * struct plug_track_driver - callbacks of a tracking entry or agent
  * @emit: carries out an action; called once for each, in order
--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -363,8 +363,9 @@
 	agent->counters[PLUG_AGENT_FORWARDED]++;
 	plug_report_get_receiver(agent, now, from)->last_heard = now;
 	flow = plug_conntable_find(&agent->flows, &segment->tuple);
-	if (flow == NULL) {
-		plug_locate_handle_unknown_flow(agent, now, from, segment);
+	if (flow == NULL || flow->state == PLUG_HOST_FLOW_RETURNED) {
+		plug_locate_handle_unknown_flow(
+		    agent, now, from, flow, segment);
 		return;
 	}
 	flow->entry = from;
@@ -374,8 +375,8 @@
 /* Handles a segment that the host has returned because it doesn't hold the
  * flow. */
 static void
-handle_bounced(
-    struct plug_track_agent *agent, const struct plug_segment *segment)
+handle_bounced(struct plug_track_agent *agent, plug_time now,
+    const struct plug_segment *segment)
 {
 	struct plug_host_flow *flow =
 	    plug_conntable_find(&agent->flows, &segment->tuple);
@@ -391,13 +392,15 @@
 		return;
 	}
 	entry = flow->entry;
-	plug_host_flow_remove(agent, flow);
-	if (plug_segment_opens_flow(&original))
+	if (plug_segment_opens_flow(&original)) {
+		plug_host_flow_remove(agent, flow);
 		plug_intake_send_refusal(agent, entry, agent->host, &original,
 		    PLUG__REFUSAL_REASON__BOUNCED);
-	else
-		plug_locate_send_answer(agent, entry, &original.tuple,
-		    PLUG__HOLDING__NO, &original);
+		return;
+	}
+	plug_host_flow_mark_returned(agent, now, flow);
+	plug_locate_send_answer(
+	    agent, entry, &original.tuple, PLUG__HOLDING__NO, &original);
 }
 
 static void
@@ -484,13 +487,17 @@
 	agent->unanswered_since = 0;
 	agent->liveness.unanswered = 0;
 	if ((segment->flags & PLUG_SEGMENT_BOUNCED) != 0) {
-		handle_bounced(agent, segment);
+		handle_bounced(agent, now, segment);
 		plug_intake_admit(agent, now);
 		return;
 	}
 	plug_track_send_segment(
 	    agent->driver, PLUG_TRACK_TO_CLIENT, 0, segment);
 	flow = plug_conntable_find(&agent->flows, &segment->tuple);
+	if (flow != NULL && flow->state == PLUG_HOST_FLOW_RETURNED) {
+		plug_host_flow_remove(agent, flow);
+		flow = NULL;
+	}
 	/* If the table is complete, a flow that isn't in it has ended, and the
 	 * segment is a late duplicate. */
 	if (flow == NULL && !plug_host_flows_complete(agent, now) &&
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -53,6 +53,8 @@
 	/* Unknown flow: the host was handed a segment and returns it if it
 	 * doesn't hold the flow. */
 	PLUG_HOST_FLOW_PROBED,
+	/* The host has returned a segment of it and so doesn't hold it. */
+	PLUG_HOST_FLOW_RETURNED,
 };
 
 /**
--- a/libplantainlug/track/agent_flows.c
+++ b/libplantainlug/track/agent_flows.c
@@ -9,6 +9,10 @@
  * after this time, it holds the flow or has dropped the segment. */
 #define PROBE_TIME (2 * PLUG_SEC)
 
+/* The table is at most this full of flows before one that the host doesn't hold
+ * is no longer remembered, so that those leave room for the host's own. */
+#define RETURNED_FILL_MAX 0.5
+
 /* Added to the idle timeout, so that entries forget an idle flow first. */
 #define IDLE_SLACK (10 * PLUG_SEC)
 
@@ -26,6 +30,17 @@
 	return flow->client_fin && flow->host_fin;
 }
 
+/**
+ * plug_host_flow_is_held() - whether the host is known to hold a flow
+ * @flow: flow of the table
+ */
+bool
+plug_host_flow_is_held(const struct plug_host_flow *flow)
+{
+	return flow->state != PLUG_HOST_FLOW_PROBED &&
+	       flow->state != PLUG_HOST_FLOW_RETURNED;
+}
+
 /**
  * plug_host_flow_account() - add a flow to the agent's totals or subtract it
  * @agent: agent
@@ -39,7 +54,7 @@
 plug_host_flow_account(
     struct plug_track_agent *agent, const struct plug_host_flow *flow, int sign)
 {
-	if (flow->state == PLUG_HOST_FLOW_PROBED || flow->idle ||
+	if (!plug_host_flow_is_held(flow) || flow->idle ||
 	    plug_host_flow_is_closed(flow))
 		return;
 	agent->open_flow_count += (uint32_t)sign;
@@ -194,6 +209,8 @@
 		plug_locate_send_answer(agent, flow->entry, &flow->conn.tuple,
 		    PLUG__HOLDING__NO, NULL);
 		break;
+	case PLUG_HOST_FLOW_RETURNED:
+		break;
 	}
 	plug_host_flow_remove(agent, flow);
 }
@@ -211,6 +228,32 @@
 		    (struct plug_host_flow *)agent->flows.oldest, reason);
 }
 
+/**
+ * plug_host_flow_mark_returned() - note that the host doesn't hold a flow
+ * @agent: agent
+ * @now: current time
+ * @flow: flow, of which the host has returned a segment; invalid afterwards
+ *
+ * It is remembered for as long as an entry may look for the flow: each further
+ * segment of it at this host, by way of whichever entry, would be one more that
+ * goes astray.
+ */
+void
+plug_host_flow_mark_returned(
+    struct plug_track_agent *agent, plug_time now, struct plug_host_flow *flow)
+{
+	if (agent->flows.count > RETURNED_FILL_MAX * agent->flows.limit) {
+		plug_host_flow_remove(agent, flow);
+		return;
+	}
+	plug_host_flow_account(agent, flow, -1);
+	flow->state = PLUG_HOST_FLOW_RETURNED;
+	flow->awaits_request = false;
+	flow->request_running = false;
+	flow->unanswered_since = 0;
+	plug_conntable_touch(&agent->flows, &flow->conn, now);
+}
+
 static plug_time
 idle_limit(const struct plug_track_agent *agent)
 {
@@ -241,6 +284,8 @@
 
 	if (flow->state == PLUG_HOST_FLOW_PROBED)
 		return untouched > PROBE_TIME;
+	if (flow->state == PLUG_HOST_FLOW_RETURNED)
+		return untouched > PLUG_LOOKUP_TIME;
 	if (plug_host_flow_is_closed(flow))
 		return untouched > CLOSED_TIME;
 	return untouched > idle_limit(agent) &&
@@ -263,8 +308,9 @@
  * @agent: agent
  * @now: current time
  *
- * These are probed flows without an answer, flows that both sides have closed,
- * and idle flows above the greatest age of a flow.
+ * These are probed flows without an answer, flows that the host doesn't hold,
+ * flows that both sides have closed, and idle flows above the greatest age of a
+ * flow.
  */
 void
 plug_host_flow_expire(struct plug_track_agent *agent, plug_time now)
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -438,8 +438,8 @@
 	receiver->last_heard = now;
 	receiver->report_soon = true;
 	flow = plug_conntable_find(&agent->flows, &segment.tuple);
-	if (flow != NULL && flow->state != PLUG_HOST_FLOW_PROBED &&
-	    !flow->idle && !plug_host_flow_is_closed(flow)) {
+	if (flow != NULL && plug_host_flow_is_held(flow) && !flow->idle &&
+	    !plug_host_flow_is_closed(flow)) {
 		handle_copy(agent, now, from, open, flow, &segment);
 		return;
 	}
--- a/libplantainlug/track/agent_internal.h
+++ b/libplantainlug/track/agent_internal.h
@@ -5,6 +5,7 @@
 
 /* agent_flows.c: table of the host's flows */
 bool plug_host_flow_is_closed(const struct plug_host_flow *flow);
+bool plug_host_flow_is_held(const struct plug_host_flow *flow);
 bool
 plug_host_flows_complete(const struct plug_track_agent *agent, plug_time now);
 void plug_host_flow_account(struct plug_track_agent *agent,
@@ -18,6 +19,8 @@
     enum plug_host_flow_state state, uint32_t entry);
 void plug_host_flow_drop(struct plug_track_agent *agent,
     struct plug_host_flow *flow, const char *reason);
+void plug_host_flow_mark_returned(
+    struct plug_track_agent *agent, plug_time now, struct plug_host_flow *flow);
 void
 plug_host_flow_drop_all(struct plug_track_agent *agent, const char *reason);
 void plug_host_flow_expire(struct plug_track_agent *agent, plug_time now);
@@ -48,7 +51,8 @@
 void plug_locate_handle_questions(struct plug_track_agent *agent, plug_time now,
     uint32_t from, const Plug__Locate *locate);
 void plug_locate_handle_unknown_flow(struct plug_track_agent *agent,
-    plug_time now, uint32_t from, const struct plug_segment *segment);
+    plug_time now, uint32_t from, const struct plug_host_flow *flow,
+    const struct plug_segment *segment);
 void plug_locate_send_answer(struct plug_track_agent *agent, uint32_t entry,
     const struct plug_tuple *tuple, Plug__Holding holding,
     const struct plug_segment *segment);
--- a/libplantainlug/track/agent_lookup.c
+++ b/libplantainlug/track/agent_lookup.c
@@ -34,6 +34,14 @@
 	plug_track_notify(agent->driver, entry, &notice);
 }
 
+/* Whether the host was handed a segment of a flow and returned it or hasn't
+ * answered it yet. @flow is NULL if the table doesn't have it. */
+static bool
+was_probed(const struct plug_host_flow *flow)
+{
+	return flow != NULL && !plug_host_flow_is_held(flow);
+}
+
 /**
  * plug_locate_send_answer() - tell an entry whether the host holds a flow
  * @agent: agent
@@ -53,6 +61,7 @@
 	plug_tuple_write(tuple, &wire);
 	answer.tuple = &wire;
 	answer.holding = holding;
+	answer.probed = was_probed(plug_conntable_find(&agent->flows, tuple));
 	if (segment != NULL)
 		answer.segment = plug_track_segment_field(segment->bytes);
 	send_located(agent, entry, &list, 1);
@@ -76,11 +85,12 @@
 }
 
 /**
- * plug_locate_handle_unknown_flow() - handle a client's segment of an unknown
- * flow
+ * plug_locate_handle_unknown_flow() - handle a client's segment of a flow that
+ * isn't known to be the host's
  * @agent: agent
  * @now: current time
  * @from: address of the entry's machine
+ * @flow: flow of the table that the host has returned; NULL for an unknown one
  * @segment: segment; a SYN or RST is ignored
  *
  * Returns the segment to the entry if the host can't hold the flow; otherwise
@@ -88,12 +98,13 @@
  */
 void
 plug_locate_handle_unknown_flow(struct plug_track_agent *agent, plug_time now,
-    uint32_t from, const struct plug_segment *segment)
+    uint32_t from, const struct plug_host_flow *flow,
+    const struct plug_segment *segment)
 {
 	if ((segment->flags & PLUG_SEGMENT_RST) != 0 ||
 	    plug_segment_opens_flow(segment))
 		return;
-	if (knows_all_flows(agent, now))
+	if (flow != NULL || knows_all_flows(agent, now))
 		plug_locate_send_answer(
 		    agent, from, &segment->tuple, PLUG__HOLDING__NO, segment);
 	else
@@ -122,6 +133,8 @@
 			return PLUG__HOLDING__YES;
 		return flow->syn_acked ? PLUG__HOLDING__NO
 				       : PLUG__HOLDING__UNSURE;
+	case PLUG_HOST_FLOW_RETURNED:
+		return PLUG__HOLDING__NO;
 	case PLUG_HOST_FLOW_PROBED:
 		break;
 	}
@@ -133,7 +146,7 @@
  * @answer was set and is to be sent now; false for a malformed question. */
 static bool
 handle_question(struct plug_track_agent *agent, plug_time now, uint32_t from,
-    const Plug__Question *question, Plug__Holding *answer)
+    const Plug__Question *question, Plug__Answer *answer)
 {
 	struct plug_host_flow *flow;
 	struct plug_segment segment;
@@ -144,10 +157,12 @@
 		return false;
 	}
 	flow = plug_conntable_find(&agent->flows, &tuple);
-	*answer = holding_of(agent, now, flow, question->ack);
-	if (*answer == PLUG__HOLDING__YES)
+	answer->holding = holding_of(agent, now, flow, question->ack);
+	answer->probed = was_probed(flow);
+	if (answer->holding == PLUG__HOLDING__YES)
 		flow->entry = from;
-	if (*answer != PLUG__HOLDING__UNSURE || question->segment.len == 0)
+	if (answer->holding != PLUG__HOLDING__UNSURE ||
+	    question->segment.len == 0)
 		return true;
 	if (!plug_track_decode_segment(
 		agent->driver, &question->segment, &segment) ||
@@ -203,8 +218,7 @@
 		Plug__Answer *answer = &answers[count];
 
 		plug__answer__init(answer);
-		if (!handle_question(
-			agent, now, entry, question, &answer->holding))
+		if (!handle_question(agent, now, entry, question, answer))
 			continue;
 		answer->tuple = question->tuple;
 		list[count++] = answer;
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -604,7 +604,8 @@
 	if (flow == NULL)
 		return;
 	if (flow->state == PLUG_ENTRY_LOCATING) {
-		plug_lookup_record_answer(flow->lookup, from, answer->holding);
+		plug_lookup_record_answer(
+		    flow->lookup, from, answer->holding, answer->probed);
 		step_lookup(entry, now, flow);
 		return;
 	}
@@ -617,7 +618,8 @@
 	/* The flow's host has returned this segment, so it has no such flow. */
 	if (!start_lookup(entry, now, flow, &segment))
 		return;
-	plug_lookup_record_answer(flow->lookup, from, PLUG__HOLDING__NO);
+	plug_lookup_record_answer(
+	    flow->lookup, from, PLUG__HOLDING__NO, answer->probed);
 	step_lookup(entry, now, flow);
 }
 
--- a/libplantainlug/track/lookup.c
+++ b/libplantainlug/track/lookup.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,13 +18,6 @@
  * reach this one. */
 #define ASK_INTERVAL_MAX (320 * PLUG_MSEC)
 
-/* A lookup lasts as long as a client may go on sending: eight retransmissions
- * of a FIN take 11 s. Segments that reach wrong hosts add up, as described at
- * PROBES_WHILE_UNANSWERED, until one reaches the right host, however long that
- * takes. A second lookup would probe further hosts, so one lookup has to cover
- * the whole time. */
-#define LOOKUP_TIME (15 * PLUG_SEC)
-
 /* If a lookup takes longer, its saved segments are not forwarded: their client
  * sends them again or has given up. */
 #define SAVED_AGE_MAX PLUG_SEC
@@ -31,7 +25,9 @@
 /* While any agent hasn't answered, at most this many other hosts are probed
  * with a segment of the flow. The metric of broken flows (see docs/platform.md)
  * counts a flow of which three segments reached wrong hosts and none the right
- * one. */
+ * one. They add up until one reaches the right host, however long that takes
+ * and whichever entries send them: probes of other entries count as well, and
+ * one lookup covers all the time in which a client may go on sending. */
 #define PROBES_WHILE_UNANSWERED 2
 
 /* Hosts probed with one notice; their addresses take 240 bytes beside the
@@ -170,10 +166,11 @@
  * @agent: address of the agent; added if it wasn't asked. The answer is dropped
  *   if there is no memory for that
  * @holding: answer
+ * @probed: the agent's host has lately been handed a segment of the flow
  */
 void
-plug_lookup_record_answer(
-    struct plug_lookup *lookup, uint32_t agent, Plug__Holding holding)
+plug_lookup_record_answer(struct plug_lookup *lookup, uint32_t agent,
+    Plug__Holding holding, bool probed)
 {
 	struct plug_lookup_host *host = find_agent(lookup, agent);
 
@@ -185,6 +182,7 @@
 		return;
 	host->answered = true;
 	host->holding = (uint8_t)holding;
+	host->probed_before |= probed;
 	if (holding == PLUG__HOLDING__YES)
 		lookup->holder = agent;
 }
@@ -334,7 +332,7 @@
 	for (unsigned int i = 0; i < lookup->host_count; i++) {
 		const struct plug_lookup_host *host = &lookup->hosts[i];
 
-		if (host->probed)
+		if (host->probed || host->probed_before)
 			counts.probed++;
 		if (is_gone(host))
 			continue;
@@ -361,7 +359,7 @@
 
 /* Probes the hosts whose agents are unsure. When every agent has answered, all
  * of them are probed, repeatedly; before that, only as many as can do no harm
- * (PROBES_WHILE_UNANSWERED), and only once. */
+ * (PROBES_WHILE_UNANSWERED), and each only once, also by several entries. */
 static void
 probe_unsure(struct plug_lookup *lookup, plug_time now,
     struct answer_counts counts, const struct plug_track_driver *driver)
@@ -369,14 +367,15 @@
 	struct plug_lookup_host *batch[PROBES_PER_NOTICE];
 	unsigned int probe_limit = PROBES_WHILE_UNANSWERED, count = 0;
 	/* The host that is probed first varies between flows, between rounds of
-	 * probes and, once per LOOKUP_TIME, between lookups of the same flow.
+	 * probes and, once per PLUG_LOOKUP_TIME, between lookups of the same
+	 * flow.
 	 */
 	uint64_t offset = plug_tuple_hash(&lookup->flow->conn.tuple) +
-			  (uint64_t)(lookup->started / LOOKUP_TIME) +
+			  (uint64_t)(lookup->started / PLUG_LOOKUP_TIME) +
 			  lookup->probe_round;
 
 	if (counts.unanswered == 0) {
-		probe_limit = lookup->host_count;
+		probe_limit = UINT_MAX;
 		restart_probes(lookup, now);
 	}
 	for (unsigned int i = 0; i < lookup->host_count; i++) {
@@ -384,6 +383,7 @@
 		    &lookup->hosts[(offset + i) % lookup->host_count];
 
 		if (!host->answered || host->probed ||
+		    (host->probed_before && counts.unanswered > 0) ||
 		    host->holding != PLUG__HOLDING__UNSURE)
 			continue;
 		if (counts.probed++ >= probe_limit)
@@ -461,7 +461,7 @@
  * Return: the verdict; the lookup is over unless it is PLUG_LOOKUP_PENDING. For
  * PLUG_LOOKUP_FOUND, @lookup->holder is the agent whose host has the flow, and
  * the saved segments are discarded if the lookup took longer than
- * SAVED_AGE_MAX. After LOOKUP_TIME, or without @fleet, it is
+ * SAVED_AGE_MAX. After PLUG_LOOKUP_TIME, or without @fleet, it is
  * PLUG_LOOKUP_UNDECIDED if the host is still unknown.
  */
 enum plug_lookup_verdict
@@ -476,7 +476,7 @@
 			lookup->saved_count = 0;
 		return PLUG_LOOKUP_FOUND;
 	}
-	if (now - lookup->started >= LOOKUP_TIME || fleet == NULL)
+	if (now - lookup->started >= PLUG_LOOKUP_TIME || fleet == NULL)
 		return PLUG_LOOKUP_UNDECIDED;
 	if (!lookup->hosts_outdated && lookup->unanswered_count > 0 &&
 	    now < lookup->next_step)
--- a/libplantainlug/track/lookup.h
+++ b/libplantainlug/track/lookup.h
@@ -12,6 +12,8 @@
  * @holding: last answer of the agent, a Plug__Holding
  * @answered: the agent has answered
  * @probed: a segment of the flow was sent to the host in this round of probes
+ * @probed_before: its agent has said that the host was handed a segment of the
+ *   flow, which may have come from another entry
  * @listed: the current host list contains it, or isn't authoritative
  */
 struct plug_lookup_host {
@@ -20,6 +22,7 @@
 	uint8_t holding;
 	bool answered;
 	bool probed;
+	bool probed_before;
 	bool listed;
 };
 
@@ -50,6 +53,8 @@
  *   hosts may be probed, and the flow is reset if no host has it. A bare
  *   acknowledgement gets no answer and may follow a flow that has just closed
  * @has_data: one of the saved segments has data
+ * @client_silent: the client has sent nothing through this entry for longer
+ * than one that waits for an answer does
  * @ack: last acknowledgement number of the client
  * @unanswered_count: number of hosts that haven't answered and don't count as
  *   gone (see ASKS_UNTIL_GONE in lookup.c)
@@ -89,8 +94,8 @@
 void plug_lookup_destroy(struct plug_lookup *lookup);
 void plug_lookup_save_segment(
     struct plug_lookup *lookup, const struct plug_segment *segment);
-void plug_lookup_record_answer(
-    struct plug_lookup *lookup, uint32_t agent, Plug__Holding holding);
+void plug_lookup_record_answer(struct plug_lookup *lookup, uint32_t agent,
+    Plug__Holding holding, bool probed);
 bool plug_lookup_was_probed(const struct plug_lookup *lookup, uint32_t agent);
 const struct plug_lookup_host *
 plug_lookup_first_undecided(const struct plug_lookup *lookup);
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -952,7 +952,7 @@
   (ProtobufCMessageInit) plug__locate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__answer__field_descriptors[3] =
+static const ProtobufCFieldDescriptor plug__answer__field_descriptors[4] =
 {
   {
     "tuple",
@@ -990,16 +990,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "probed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Answer, probed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__answer__field_indices_by_name[] = {
   1,   /* field[1] = holding */
+  3,   /* field[3] = probed */
   2,   /* field[2] = segment */
   0,   /* field[0] = tuple */
 };
 static const ProtobufCIntRange plug__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor plug__answer__descriptor =
 {
@@ -1009,7 +1022,7 @@
   "Plug__Answer",
   "plug",
   sizeof(Plug__Answer),
-  3,
+  4,
   plug__answer__field_descriptors,
   plug__answer__field_indices_by_name,
   1,  plug__answer__number_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -175,7 +175,9 @@
 
 /*
  * Answer answers a Question, or tells unasked that a host has returned a
- * segment, which is then included.
+ * segment, which is then included. probed: the host has lately been handed a
+ * segment of the flow and has returned it or not answered it yet, whichever
+ * entry has sent it.
  */
 struct  Plug__Answer
 {
@@ -183,10 +185,11 @@
   Plug__Tuple *tuple;
   Plug__Holding holding;
   ProtobufCBinaryData segment;
+  protobuf_c_boolean probed;
 };
 #define PLUG__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__answer__descriptor) \
-    , NULL, PLUG__HOLDING__UNSURE, {0,NULL} }
+    , NULL, PLUG__HOLDING__UNSURE, {0,NULL}, 0 }
 
 
 struct  Plug__Located
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -151,7 +151,7 @@
 	other = host == 0 ? 1 : 0;
 	world_list_only(&world, other);
 	world_open(&world, 1, 7);
-	ck_assert_int_eq(world_host_of_flow(&world, 7), (int)other);
+	ck_assert(world.hosts[other].has_flow[7]);
 	for (unsigned int i = 0; i < world.host_count; i++)
 		world.listed[i] = true;
 	world_adopt_all(&world, true);
@@ -258,6 +258,128 @@
 }
 END_TEST
 
+/* Opens a flow through entry 0, restarts all agents and makes some hosts other
+ * than the flow's unreachable. The client then sends data through entry 1, 2
+ * and so on, as a flow does that moves from entry to entry. Return: segments at
+ * hosts that don't have the flow. */
+static unsigned int
+move_flow(uint16_t port, unsigned int unreachable, unsigned int moves)
+{
+	unsigned int host, before;
+
+	world_open(&world, 0, port);
+	host = (unsigned int)world_host_of_flow(&world, port);
+	restart_agents();
+	for (unsigned int i = 1; i <= unreachable; i++)
+		world.agent_nodes[(host + i) % world.host_count].isolated =
+		    true;
+	before = world_unknown_segments(&world);
+	for (unsigned int entry = 1; entry <= moves; entry++) {
+		world_data(&world, entry, port);
+		world_run(&world, 400 * PLUG_MSEC);
+		world_data(&world, entry, port);
+		world_run(&world, 800 * PLUG_MSEC);
+	}
+	return world_unknown_segments(&world) - before;
+}
+
+/* Guards against segments at wrong hosts that add up over entries, each of
+ * which probes as many hosts as one may: a flow that moves twice or three times
+ * while an agent or two are frozen, after all have restarted. */
+START_TEST(few_probes_by_several_entries)
+{
+	const unsigned int unreachable = 1 + (unsigned int)_i / 2;
+	const unsigned int moves = 2 + (unsigned int)_i % 2;
+
+	world_finish(&world);
+	world_init(&world, 4, 7);
+	for (uint16_t port = 1; port <= 30; port++) {
+		ck_assert_uint_le(move_flow(port, unreachable, moves), 2);
+		for (unsigned int i = 0; i < world.host_count; i++)
+			world.agent_nodes[i].isolated = false;
+		world_data(&world, moves, port);
+		world_run(&world, 800 * PLUG_MSEC);
+		ck_assert_uint_ge(world.clients[port].answers, 1);
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+	}
+}
+END_TEST
+
+/* Guards against probes by an entry from which the flow has moved on, in
+ * addition to those of the next entry. */
+START_TEST(few_probes_by_an_entry_without_the_client)
+{
+	unsigned int before;
+
+	world_finish(&world);
+	world_init(&world, 2, 7);
+	for (uint16_t port = 1; port <= 30; port++) {
+		unsigned int host;
+
+		world_open(&world, 0, port);
+		host = (unsigned int)world_host_of_flow(&world, port);
+		restart_agents();
+		world_restart_entry(&world, 0);
+		/* Only the flow's host and one other aren't frozen at first. */
+		for (unsigned int i = 2; i < world.host_count; i++)
+			world.agent_nodes[(host + i) % world.host_count]
+			    .isolated = true;
+		world.agent_nodes[host].isolated = true;
+		before = world_unknown_segments(&world);
+		world_data(&world, 0, port);
+		world_run(&world, 400 * PLUG_MSEC);
+		for (unsigned int i = 0; i < 3; i++) {
+			world_data(&world, 1, port);
+			world_run(&world, PLUG_SEC);
+			/* The flow's own host stays frozen. */
+			world.agent_nodes[(host + 2 + i) % world.host_count]
+			    .isolated = false;
+		}
+		ck_assert_uint_le(world_unknown_segments(&world) - before, 2);
+		for (unsigned int i = 0; i < world.host_count; i++)
+			world.agent_nodes[i].isolated = false;
+		world_data(&world, 1, port);
+		world_run(&world, 800 * PLUG_MSEC);
+		ck_assert_uint_ge(world.clients[port].answers, 1);
+		ck_assert_uint_eq(world.clients[port].resets, 0);
+	}
+}
+END_TEST
+
+/* Guards against a host that is probed anew for a flow which it has returned,
+ * and against a new flow that is refused there as its port was used for that
+ * one. */
+START_TEST(returned_flow_may_be_opened_anew)
+{
+	unsigned int host = open_flow(), other = (host + 1) % 5, before;
+	const struct plug_host_flow *flow;
+
+	restart_agents();
+	world.agent_nodes[host].isolated = true;
+	world_restart_entry(&world, 0);
+	world_data(&world, 0, 7);
+	world_run(&world, 300 * PLUG_MSEC);
+	before = world_unknown_segments(&world);
+	world_data(&world, 1, 7);
+	world_run(&world, 300 * PLUG_MSEC);
+	ck_assert_uint_eq(world_unknown_segments(&world), before);
+	for (other = 0; other < world.host_count; other++) {
+		flow = (const struct plug_host_flow *)world.agents[other]
+			   .flows.newest;
+		if (flow != NULL && flow->state == PLUG_HOST_FLOW_RETURNED)
+			break;
+	}
+	ck_assert_uint_lt(other, world.host_count);
+	ck_assert_uint_eq(world.agents[other].open_flow_count, 0);
+	world_restart_entry(&world, 0);
+	world_list_only(&world, other);
+	world.clients[7] = (struct world_client){ .seq = 5000000 };
+	world_open(&world, 0, 7);
+	ck_assert(world.hosts[other].has_flow[7]);
+	ck_assert_uint_eq(world.agents[other].open_flow_count, 1);
+}
+END_TEST
+
 /* Guards against further probes for each retransmission of a client's FIN,
  * which no reset answers while the host of the flow is unreachable. Broke the
  * rule FLOW on agents-and-entries of lekbai-lb with --vary --seed 407547055003.
@@ -1570,6 +1692,9 @@
 	tcase_add_test(flows, flows_survive_restart_of_all_processes);
 	tcase_add_test(flows, few_probes_while_the_host_is_unreachable);
 	tcase_add_test(flows, few_probes_over_retransmissions);
+	tcase_add_loop_test(flows, few_probes_by_several_entries, 0, 4);
+	tcase_add_test(flows, few_probes_by_an_entry_without_the_client);
+	tcase_add_test(flows, returned_flow_may_be_opened_anew);
 	tcase_add_test(flows, few_probes_by_a_closing_client);
 	tcase_add_test(flows, agent_older_than_its_host_knows_all_flows);
 	tcase_add_test(flows, absent_flow_is_reset);
