Learn of an evacuation before a large configuration or history has arrived

Cause: an entry follows the changes from where it was, about 1 MB an answer, and the evacuation stands behind them. What it transfers to be current follows the length of the history, not the size of the state.

Change: while the operators' part can't be read, or takes over 0.2 s to arrive, the domains out of service are read alone, twice a second, on a connection of their own. Positions decide between the two reads: neither undoes what is newer. Changes that take four times longer to arrive than they were waited for, or that were cut off halfway, are followed by a complete read in place of further history (event=changes_skipped). When the part is current and small, nothing more is read.

--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -47,6 +47,8 @@
     const char *read, const char *reason, uint64_t generation)
 {
 	view->restored_at = now;
+	/* Revisions are given out again. */
+	view->domains_at = (struct plug_store_position){ 0 };
 	view->counters[PLUG_STOREVIEW_RESTORED]++;
 	plug_client_log(view->client, PLUG_LOG_WARN,
 	    "event=store_restored read=%s reason=%s generation=%llu "
@@ -148,19 +150,42 @@
 	    "event=domain_%s domain=#%08x", out ? "out" : "back", domain);
 }
 
+static void
+add_domain(struct plug_storeview_domains *domains, uint32_t domain)
+{
+	if (domains->count < PLUG_DOMAINS_OUT_MAX)
+		domains->ids[domains->count++] = domain;
+}
+
+/* Whether the domains were read alone at this position or a later one of the
+ * same generation. */
+static bool
+domains_are_newer(
+    const struct plug_storeview *view, struct plug_store_position position)
+{
+	return view->domains_at.generation == position.generation &&
+	       view->domains_at.revision >= position.revision &&
+	       position.revision != 0;
+}
+
 /**
  * plug_storeview_take_domain() - take the state of a domain that was read
  * @view: view
  * @domain: hash of its name
  * @out: it is out of service
+ * @position: generation of the answer and revision of the item, which is 0 if
+ *   unknown
+ *
+ * Without effect if the domains were read alone since the item was written.
  */
 void
-plug_storeview_take_domain(
-    struct plug_storeview *view, uint32_t domain, bool out)
+plug_storeview_take_domain(struct plug_storeview *view, uint32_t domain,
+    bool out, struct plug_store_position position)
 {
-	if (out && view->found_count < PLUG_DOMAINS_OUT_MAX)
-		view->found[view->found_count++] = domain;
-	set_out(view, domain, out);
+	if (out)
+		add_domain(&view->found, domain);
+	if (!domains_are_newer(view, position))
+		set_out(view, domain, out);
 }
 
 /**
@@ -242,7 +267,7 @@
 plug_storeview_begin_operators(
     struct plug_storeview *view, uint64_t generation, bool changes)
 {
-	view->found_count = 0;
+	view->found.count = 0;
 	if (!changes || generation == view->operators_at.generation)
 		return true;
 	plug_client_log(view->client, PLUG_LOG_INFO,
@@ -255,10 +280,10 @@
 }
 
 static bool
-contains(const uint32_t *domains, unsigned int count, uint32_t domain)
+contains(const struct plug_storeview_domains *domains, uint32_t domain)
 {
-	for (unsigned int i = 0; i < count; i++) {
-		if (domains[i] == domain)
+	for (unsigned int i = 0; i < domains->count; i++) {
+		if (domains->ids[i] == domain)
 			return true;
 	}
 	return false;
@@ -267,12 +292,13 @@
 /* What was taken back while the history was dropped is missed by the changes:
  * a complete read doesn't show it. */
 static void
-take_back_missing(struct plug_storeview *view)
+take_back_missing(
+    struct plug_storeview *view, const struct plug_storeview_domains *found)
 {
 	for (unsigned int i = view->out_count; i-- > 0;) {
 		uint32_t domain = view->out[i];
 
-		if (!contains(view->found, view->found_count, domain))
+		if (!contains(found, domain))
 			set_out(view, domain, false);
 	}
 }
@@ -292,8 +318,9 @@
 	if (!changes) {
 		view->operators_unconfirmed =
 		    plug_storeview_lacks_items(view, now);
-		if (!view->operators_unconfirmed)
-			take_back_missing(view);
+		if (!view->operators_unconfirmed &&
+		    !domains_are_newer(view, position))
+			take_back_missing(view, &view->found);
 	} else if (position.revision < view->operators_at.revision) {
 		plug_storeview_note_restored(
 		    view, now, "changes", "revision", position.generation);
@@ -302,6 +329,59 @@
 	view->operators_at = position;
 }
 
+/**
+ * plug_storeview_begin_domains() - a read of the domains alone begins
+ * @view: view
+ */
+void
+plug_storeview_begin_domains(struct plug_storeview *view)
+{
+	view->found_alone.count = 0;
+}
+
+/**
+ * plug_storeview_add_domain() - add a domain that is out of service to the read
+ * @view: view
+ * @domain: hash of its name
+ */
+void
+plug_storeview_add_domain(struct plug_storeview *view, uint32_t domain)
+{
+	add_domain(&view->found_alone, domain);
+}
+
+/**
+ * plug_storeview_end_domains() - a read of the domains alone ends
+ * @view: view
+ * @now: time
+ * @position: position that it was read at
+ *
+ * The operators' part may take long to arrive, or stand behind changes that
+ * were missed. The domains are small; what the part says of them is skipped
+ * then unless it is newer. A read that is older than the last answer on the
+ * part is ignored.
+ *
+ * Return: whether the read counts.
+ */
+bool
+plug_storeview_end_domains(struct plug_storeview *view, plug_time now,
+    struct plug_store_position position)
+{
+	const struct plug_storeview_domains *found = &view->found_alone;
+	if (position.generation != view->generation ||
+	    (position.generation == view->operators_at.generation &&
+		position.revision < view->operators_at.revision))
+		return false;
+	for (unsigned int i = 0; i < found->count; i++) {
+		set_out(view, found->ids[i], true);
+	}
+	if (!plug_storeview_lacks_items(view, now)) {
+		take_back_missing(view, found);
+		view->domains_at = position;
+	}
+	return true;
+}
+
 /**
  * plug_storeview_fleet() - snapshot for the traffic threads
  * @view: view
--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -29,6 +29,17 @@
 	struct plug_fleet_host *hosts;
 };
 
+/**
+ * struct plug_storeview_domains - domains that a read has shown to be out of
+ * service
+ * @count: length of @ids
+ * @ids: hashes of their names
+ */
+struct plug_storeview_domains {
+	unsigned int count;
+	uint32_t ids[PLUG_DOMAINS_OUT_MAX];
+};
+
 /**
  * struct plug_storeview_read - a complete read of the host list
  * @began: time when its first page was asked for
@@ -66,8 +77,11 @@
  * @changes_suffice: the operators' part is known up to @operators_at, so that
  *   its changes are read next, not the complete part
  * @operators_at: position of the last read of that part
- * @found_count: length of @found
- * @found: those that the pages which are being read have shown
+ * @found: domains that the pages of the operators' part which are being read
+ *   have shown
+ * @domains_at: position of the last read of the domains alone; a domain item
+ *   that isn't newer tells nothing
+ * @found_alone: domains that the pages of such a read have shown
  * @pending: hosts of the pages that are being read, in the order of their
  *   arrival
  * @hosts: hosts of the list in force, sorted by id
@@ -97,8 +111,9 @@
 	uint32_t out[PLUG_DOMAINS_OUT_MAX];
 	bool changes_suffice;
 	struct plug_store_position operators_at;
-	unsigned int found_count;
-	uint32_t found[PLUG_DOMAINS_OUT_MAX];
+	struct plug_storeview_domains found;
+	struct plug_store_position domains_at;
+	struct plug_storeview_domains found_alone;
 	struct plug_storeview_list pending;
 	struct plug_storeview_list hosts;
 	struct plug_store_position position;
@@ -124,8 +139,12 @@
 void plug_storeview_note_failure(struct plug_storeview *view, plug_time now);
 bool plug_storeview_take_config(
     struct plug_storeview *view, struct plug_config *config);
-void plug_storeview_take_domain(
-    struct plug_storeview *view, uint32_t domain, bool out);
+void plug_storeview_take_domain(struct plug_storeview *view, uint32_t domain,
+    bool out, struct plug_store_position position);
+void plug_storeview_begin_domains(struct plug_storeview *view);
+void plug_storeview_add_domain(struct plug_storeview *view, uint32_t domain);
+bool plug_storeview_end_domains(struct plug_storeview *view, plug_time now,
+    struct plug_store_position position);
 plug_time plug_storeview_next_changes(
     const struct plug_storeview *view, plug_time now, uint64_t *after_revision);
 void plug_storeview_restart_operators(struct plug_storeview *view);
--- a/net/adapter.h
+++ b/net/adapter.h
@@ -9,6 +9,7 @@
 enum plug_store_read {
 	PLUG_STORE_OPERATORS, /* what the operators have written */
 	PLUG_STORE_CHANGES,   /* what they write after a revision; may wait */
+	PLUG_STORE_DOMAINS,   /* of their part, the domains out of service */
 	PLUG_STORE_HOSTS,     /* the instance list */
 };
 
@@ -39,6 +40,7 @@
  * struct plug_store_item - one item of an answer
  * @kind: selects the member of the union
  * @removed: the item is gone
+ * @revision: revision of its last change; 0 if the answer doesn't tell
  * @readable: the member is filled; @reason tells why not
  * @key: key, for logs
  * @reason: reason of a failure, for logs
@@ -49,6 +51,7 @@
 struct plug_store_item {
 	enum plug_store_kind kind;
 	bool removed;
+	uint64_t revision;
 	bool readable;
 	char key[PLUG_STORE_KEY_SIZE];
 	char reason[PLUG_STATUS_MESSAGE_SIZE];
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "clock.h"
 #include "fetch.h"
 
 #define CONNECT_MS	500L  /* to open a connection; a few round trips */
@@ -38,6 +39,8 @@
  * @left_ms: milliseconds that it may take after the next expiry of @timer; 0
  * once the answer arrives, if handlers set stall_ms
  * @received: bytes of the answer that have arrived
+ * @sent_at: time when the GET was sent
+ * @first_at: time when the answer began to arrive; 0 before
  * @connected: @connection is open and kept for the next GET
  * @reused: the GET uses a connection that was kept
  * @starting: the GET is just being started, so that its end is a failure of
@@ -56,6 +59,8 @@
 	struct event *timer;
 	long left_ms;
 	size_t received;
+	plug_time sent_at;
+	plug_time first_at;
 	bool connected;
 	bool reused;
 	bool starting;
@@ -158,6 +163,10 @@
 	slot->request = NULL;
 	(void)evtimer_del(slot->timer);
 	answer->received = slot->received;
+	if (slot->first_at != 0) {
+		answer->waited = slot->first_at - slot->sent_at;
+		answer->arriving = plug_clock_now() - slot->first_at;
+	}
 	/* The handler may destroy the slot. */
 	slot->handlers.done(slot->handlers.data, answer);
 }
@@ -267,6 +276,8 @@
 	(void)buffer;
 	if (slot->request == NULL || info->n_added == 0)
 		return;
+	if (slot->received == 0)
+		slot->first_at = plug_clock_now();
 	slot->received += info->n_added;
 	if (slot->handlers.stall_ms == 0)
 		return;
@@ -305,6 +316,8 @@
 
 	slot->reused = slot->connected;
 	slot->received = 0;
+	slot->sent_at = plug_clock_now();
+	slot->first_at = 0;
 	slot->error = ERROR_CONNECT;
 	if (slot->connection == NULL && !open_connection(slot))
 		return false;
@@ -429,6 +442,22 @@
 	return slot->request != NULL;
 }
 
+/**
+ * plug_fetch_arriving_for() - for how long the answer of a GET has been
+ * arriving
+ * @slot: slot
+ * @now: time
+ *
+ * Return: microseconds since its first byte; 0 without a GET or before it.
+ */
+plug_time
+plug_fetch_arriving_for(const struct plug_fetch_slot *slot, plug_time now)
+{
+	return slot->request == NULL || slot->first_at == 0
+		   ? 0
+		   : now - slot->first_at;
+}
+
 /**
  * plug_fetch_closed() - whether the peer has closed the kept connection
  * @slot: slot that isn't busy
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -12,6 +12,8 @@
  * @reason: text for the log when @status is 0
  * @received: bytes of the answer that have arrived, those of its header
  * included
+ * @waited: time until the answer began to arrive, microseconds; 0 if it didn't
+ * @arriving: time from its first to its last byte, microseconds
  * @refused: the connection could not be opened, as nothing listens at the
  *   address
  */
@@ -20,6 +22,8 @@
 	struct plug_str body;
 	const char *reason;
 	size_t received;
+	plug_time waited;
+	plug_time arriving;
 	bool refused;
 };
 
@@ -53,6 +57,8 @@
     struct plug_fetch_slot *slot, const char *url, long timeout_ms);
 void plug_fetch_cancel(struct plug_fetch_slot *slot);
 bool plug_fetch_busy(const struct plug_fetch_slot *slot);
+plug_time
+plug_fetch_arriving_for(const struct plug_fetch_slot *slot, plug_time now);
 bool plug_fetch_closed(const struct plug_fetch_slot *slot);
 
 #endif
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -31,13 +31,22 @@
  * be used, are at least this far apart. */
 #define REFRESH_SPACING (100 * PLUG_MSEC)
 
+/* A part of the operators that takes longer to arrive is large for the entry's
+ * link. Meanwhile the domains are read alone, this often. */
+#define LARGE_AFTER    (200 * PLUG_MSEC)
+#define DOMAINS_PERIOD (500 * PLUG_MSEC)
+
+/* Changes that take this many times longer to arrive than they were waited for
+ * come faster than the entry can read them, or it has missed some. */
+#define BEHIND_RATIO 4
+
 #define STATUS_OK   200
 #define STATUS_GONE 410 /* the history that was asked for was dropped */
 
 #define UNREADABLE_INTERVAL (5 * PLUG_SEC) /* between log lines about them */
 
 /**
- * struct part - one of the two things that are read over and over
+ * struct part - one of the things that are read over and over
  * @reader: owner
  * @slot: its GET
  * @query: query under way, or the next one
@@ -64,6 +73,8 @@
 /**
  * struct plug_storereader - reader of the operators' part and the host list
  * @operators: reads of the operators' part
+ * @domains: reads of the domains out of service alone, while the operators'
+ * part is late
  * @hosts: reads of the host list
  * @view: what the answers have told
  * @exact_at: when the last exact read began
@@ -76,6 +87,7 @@
 	struct plug_client *client;
 	struct plug_storereader_handlers handlers;
 	struct part operators;
+	struct part domains;
 	struct part hosts;
 	struct plug_storeview view;
 	plug_time exact_at;
@@ -86,6 +98,7 @@
 
 static void on_header(void *data, struct plug_str line);
 static void on_operators(void *data, const struct plug_fetch_answer *answer);
+static void on_domains(void *data, const struct plug_fetch_answer *answer);
 static void on_hosts(void *data, const struct plug_fetch_answer *answer);
 
 static bool
@@ -135,6 +148,8 @@
 	plug_storeview_init(&reader->view, client);
 	if (!init_part(reader, &reader->operators, loop, PLUG_STORE_OPERATORS,
 		on_operators) ||
+	    !init_part(reader, &reader->domains, loop, PLUG_STORE_DOMAINS,
+		on_domains) ||
 	    !init_part(
 		reader, &reader->hosts, loop, PLUG_STORE_HOSTS, on_hosts)) {
 		plug_storereader_destroy(reader);
@@ -154,6 +169,7 @@
 	if (reader == NULL)
 		return;
 	plug_fetch_slot_destroy(reader->operators.slot);
+	plug_fetch_slot_destroy(reader->domains.slot);
 	plug_fetch_slot_destroy(reader->hosts.slot);
 	plug_storeview_finish(&reader->view);
 	free(reader);
@@ -250,8 +266,10 @@
 			    reader->handlers.data, reader->view.config);
 		return;
 	case PLUG_STORE_DOMAIN_OUT:
-		plug_storeview_take_domain(
-		    &reader->view, item->domain, !item->removed);
+		plug_storeview_take_domain(&reader->view, item->domain,
+		    !item->removed,
+		    (struct plug_store_position){
+			reader->operators.generation, item->revision });
 		return;
 	case PLUG_STORE_HOST:
 	case PLUG_STORE_OTHER:
@@ -260,19 +278,28 @@
 }
 
 static const char *
-part_name(const struct part *part)
+read_name(const struct part *part)
 {
 	switch (part->query.what) {
 	case PLUG_STORE_OPERATORS:
 		return "operators";
 	case PLUG_STORE_CHANGES:
 		return "changes";
+	case PLUG_STORE_DOMAINS:
+		return "domains";
 	case PLUG_STORE_HOSTS:
 		return "hosts";
 	}
 	return "-";
 }
 
+/* Both reads of the operators' part go under its name. */
+static const char *
+part_name(const struct part *part)
+{
+	return part == &part->reader->operators ? "operators" : read_name(part);
+}
+
 static void
 fail(struct part *part, plug_time now, const char *reason, size_t received)
 {
@@ -284,9 +311,9 @@
 		plug_client_log(reader->client, PLUG_LOG_WARN,
 		    "event=store_lost part=%s reason=\"%s\" revision=%llu "
 		    "read=%s received=%zu after_ms=%lld",
-		    part == &reader->hosts ? "hosts" : "operators", reason,
+		    part_name(part), reason,
 		    (unsigned long long)part->position.revision,
-		    part_name(part), received,
+		    read_name(part), received,
 		    (long long)((now - part->asked_at) / PLUG_MSEC));
 	part->due = now + plug_backoff_fail(&part->backoff, reader->client);
 	part->query.cursor[0] = '\0';
@@ -294,21 +321,25 @@
 		reader->exact_wanted = true;
 }
 
+/* The store answers, so that the other parts need not wait for long either. */
 static void
 succeeded(struct part *part, plug_time now)
 {
 	struct plug_storereader *reader = part->reader;
-	struct part *other =
-	    part == &reader->hosts ? &reader->operators : &reader->hosts;
+	struct part *const parts[] = { &reader->operators, &reader->domains,
+		&reader->hosts };
 
 	if (part->backoff.failures > 0)
 		plug_client_log(reader->client, PLUG_LOG_INFO,
-		    "event=store_back part=%s failures=%u",
-		    part == &reader->hosts ? "hosts" : "operators",
+		    "event=store_back part=%s failures=%u", part_name(part),
 		    part->backoff.failures);
 	plug_backoff_init(&part->backoff);
-	if (plug_backoff_shorten(&other->backoff) && other->due > now)
-		other->due = now;
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		if (parts[i] != part &&
+		    plug_backoff_shorten(&parts[i]->backoff) &&
+		    parts[i]->due > now)
+			parts[i]->due = now;
+	}
 }
 
 static void
@@ -328,7 +359,7 @@
 	struct part *operators = &reader->operators;
 
 	if (!plug_storeview_note_generation(
-		&reader->view, now, part->generation, part_name(part)) ||
+		&reader->view, now, part->generation, read_name(part)) ||
 	    part == operators)
 		return;
 	plug_fetch_cancel(operators->slot);
@@ -401,6 +432,24 @@
 	query->wait_ms = (unsigned int)((wait + PLUG_MSEC - 1) / PLUG_MSEC);
 }
 
+/* Reads the operators' part completely next if changes come faster than they
+ * arrive: the history that was missed may be larger than the part itself. */
+static void
+skip_large_history(
+    struct plug_storereader *reader, const struct plug_fetch_answer *answer)
+{
+	if (answer->arriving <= LARGE_AFTER ||
+	    answer->arriving <= BEHIND_RATIO * answer->waited)
+		return;
+	plug_client_log(reader->client, PLUG_LOG_INFO,
+	    "event=changes_skipped after=%llu received=%zu waited_ms=%lld "
+	    "arriving_ms=%lld",
+	    (unsigned long long)reader->view.operators_at.revision,
+	    answer->received, (long long)(answer->waited / PLUG_MSEC),
+	    (long long)(answer->arriving / PLUG_MSEC));
+	plug_storeview_restart_operators(&reader->view);
+}
+
 static void
 on_operators(void *data, const struct plug_fetch_answer *answer)
 {
@@ -425,11 +474,18 @@
 		&reader->view, part->generation, changes))
 		return;
 	part->due = now;
-	if (!read_page(part, now, answer, on_operators_item, &page) ||
-	    page.more)
+	if (!read_page(part, now, answer, on_operators_item, &page)) {
+		/* What arrived of the changes is lost, and more has come. */
+		if (changes && answer->status == 0 && answer->received > 0)
+			plug_storeview_restart_operators(&reader->view);
+		return;
+	}
+	if (page.more)
 		return;
 	plug_storeview_end_operators(
 	    &reader->view, now, part->position, changes);
+	if (changes)
+		skip_large_history(reader, answer);
 	if (reader->handlers.fleet == NULL)
 		part->due = now + (reader->view.config == NULL ? FIRST_PERIOD
 							       : AGENT_PERIOD);
@@ -437,6 +493,34 @@
 		publish(reader, now);
 }
 
+static void
+on_domains_item(void *data, struct plug_store_item *item)
+{
+	struct plug_storereader *reader = data;
+
+	if (item->kind == PLUG_STORE_DOMAIN_OUT && !item->removed)
+		plug_storeview_add_domain(&reader->view, item->domain);
+}
+
+static void
+on_domains(void *data, const struct plug_fetch_answer *answer)
+{
+	struct part *part = data;
+	struct plug_storereader *reader = part->reader;
+	plug_time now = plug_clock_now();
+	struct plug_store_page page;
+
+	note_generation(part, now);
+	if (part->query.cursor[0] == '\0')
+		plug_storeview_begin_domains(&reader->view);
+	part->due = now;
+	if (!read_page(part, now, answer, on_domains_item, &page) || page.more)
+		return;
+	part->due = part->began + DOMAINS_PERIOD;
+	if (plug_storeview_end_domains(&reader->view, now, part->position))
+		publish(reader, now);
+}
+
 static void
 on_host_item(void *data, struct plug_store_item *item)
 {
@@ -502,6 +586,15 @@
 		fail(part, now, "the query can't be started", 0);
 }
 
+/* Whether the operators' part can't be read, or takes long to arrive. */
+static bool
+operators_are_late(const struct plug_storereader *reader, plug_time now)
+{
+	return reader->operators.backoff.failures > 0 ||
+	       plug_fetch_arriving_for(reader->operators.slot, now) >
+		   LARGE_AFTER;
+}
+
 /**
  * plug_storereader_step() - start the reads that are due
  * @reader: reader
@@ -513,6 +606,7 @@
 plug_storereader_step(struct plug_storereader *reader, plug_time now)
 {
 	struct part *operators = &reader->operators, *hosts = &reader->hosts;
+	struct part *domains = &reader->domains;
 	plug_time next = now + PLUG_SEC;
 
 	if (!plug_fetch_busy(operators->slot)) {
@@ -524,7 +618,17 @@
 			next = operators->due;
 		}
 	}
-	if (reader->handlers.fleet == NULL || plug_fetch_busy(hosts->slot))
+	if (reader->handlers.fleet == NULL)
+		return next;
+	if (!plug_fetch_busy(domains->slot) &&
+	    (domains->query.cursor[0] != '\0' ||
+		operators_are_late(reader, now))) {
+		if (domains->due <= now)
+			start(domains, now);
+		else if (domains->due < next)
+			next = domains->due;
+	}
+	if (plug_fetch_busy(hosts->slot))
 		return next;
 	if (reader->exact_wanted && hosts->backoff.failures == 0 &&
 	    hosts->due > reader->exact_at + REFRESH_SPACING)
--- a/tests/process/slowlink.py
+++ b/tests/process/slowlink.py
@@ -4,7 +4,8 @@
 Mbit/s, and the configuration's value is as large as the platform allows. Guards
 against an entry that cuts off each read while its answer arrives: it never gets
 ready, or never learns of a change again after the store has dropped its
-history. Prints one line for each step and exits with 1 when a check fails.
+history. Guards as well against one that was cut off and reads all versions that
+it has missed before it learns of an evacuation and of the last version. Prints one line for each step and exits with 1 when a check fails.
 
 usage: slowlink.py PROGRAM
 """
@@ -24,6 +25,8 @@
 LINK = 10e6 / 8        # bytes a second
 VALUE_MAX = 1048576    # bytes of a value
 CHUNK = 12500          # bytes sent at a time
+WATCH_MAX = 1048576    # bytes after which a watch leaves the rest for the next
+MISSED = 8             # versions written while the entry is cut off
 APPLY = 5.0            # seconds until a change is in force on such a link
 GENEROUS = 20.0        # seconds for a condition without a bound
 LOG_LINES = 30         # shown after a failure
@@ -48,11 +51,28 @@
 
 
 class SlowHandler(Handler):
+    encoded = {}  # by key and revision, as the values are large
+
+    @classmethod
+    def item(cls, key, value, revision):
+        if (key, revision) not in cls.encoded:
+            cls.encoded[key, revision] = Handler.item(key, value, revision)
+        return cls.encoded[key, revision]
+
     def watch(self, store, query):
-        """As in a store that also tells reads that wait of a dropped history."""
+        """Like a store that also tells reads that wait of changes to itself."""
         answer = super().watch(store, query)
+        if self.server.entry in store.refused:
+            return 503, store.generation, {}
         if int(query["after"]) < store.oldest:
             return 410, store.generation, {}
+        size = 0
+        for count, event in enumerate(answer[2]["events"], 1):
+            size += len(event.get("value", ""))
+            if size > WATCH_MAX and count < len(answer[2]["events"]):
+                answer[2]["events"] = answer[2]["events"][:count]
+                answer[2]["store-revision"] = event["rev"]
+                break
         return answer
 
     def reply(self, status, generation, body):
@@ -83,12 +103,12 @@
             self.process = subprocess.Popen([program, "tracking-entry",
                 "--config", path], stderr=log)
 
-    def wait_for(self, what, text, limit, since=None):
-        """Waits until the log has a text, for limit seconds from since."""
+    def wait_for(self, what, text, limit, since=None, times=1):
+        """Waits until the log has a text some times, limit seconds from since."""
         start = time.monotonic() if since is None else since
         while time.monotonic() < start + limit:
             with open(self.log) as file:
-                if text in file.read():
+                if file.read().count(text) >= times:
                     step(what=what, after_s="%.1f" %
                         (time.monotonic() - start), result="pass")
                     return
@@ -141,6 +161,22 @@
             APPLY, at)
         at = write(store, "op/evacuate/south", {})
         entry.wait_for("domain_out", "event=domain_out", APPLY, at)
+        write(store, "op/evacuate/south", None)
+        entry.wait_for("domain_back", "event=domain_back", APPLY, at)
+        with store.changed:
+            store.refused.add(entry)
+        entry.wait_for("cut_off", "event=store_lost", GENEROUS)
+        for version in range(3, 3 + MISSED):
+            write(store, "op/config", config(version))
+            SlowHandler.item("op/config", config(version), store.revision)
+        write(store, "op/evacuate/north", {})
+        with store.changed:
+            store.refused.discard(entry)
+        at = time.monotonic()
+        entry.wait_for("missed_evacuation_in_force",
+            "event=domain_out", APPLY, at, times=2)
+        entry.wait_for("last_missed_change_in_force",
+            "event=config_adopted version=%d" % (2 + MISSED), APPLY, at)
     except Failed:
         with open(entry.log) as file:
             print("".join(file.readlines()[-LOG_LINES:]), end="")
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "libplantainlug/track/backoff.h"
-#include "libplantainlug/track/storeview.h"
+#include "libplantainlug/track/storeview_internal.h"
 #include "suites.h"
 
 #define START (1000 * PLUG_SEC)
@@ -103,14 +103,40 @@
 static void
 read_operators(uint64_t generation, uint64_t revision, const char *out)
 {
+	const struct plug_store_position at = { generation, revision };
+
 	plug_storeview_note_generation(&view, now, generation, "operators");
 	ck_assert(plug_storeview_begin_operators(&view, generation, false));
 	if (strstr(out, "north") != NULL)
-		plug_storeview_take_domain(&view, NORTH, true);
+		plug_storeview_take_domain(&view, NORTH, true, at);
 	if (strstr(out, "south") != NULL)
-		plug_storeview_take_domain(&view, SOUTH, true);
-	plug_storeview_end_operators(&view, now,
-	    (struct plug_store_position){ generation, revision }, false);
+		plug_storeview_take_domain(&view, SOUTH, true, at);
+	plug_storeview_end_operators(&view, now, at, false);
+}
+
+/* An answer with one change that is older than @revision or the same. */
+static void
+read_change(uint64_t revision, uint64_t changed_at, uint32_t domain, bool out)
+{
+	const struct plug_store_position at = { 1, changed_at };
+
+	ck_assert(plug_storeview_begin_operators(&view, 1, true));
+	plug_storeview_take_domain(&view, domain, out, at);
+	plug_storeview_end_operators(
+	    &view, now, (struct plug_store_position){ 1, revision }, true);
+}
+
+/* A read of the domains alone that shows NORTH as out of service, or none.
+ * Return: whether it counts. */
+static bool
+read_domains(uint64_t generation, uint64_t revision, bool north)
+{
+	plug_storeview_note_generation(&view, now, generation, "domains");
+	plug_storeview_begin_domains(&view);
+	if (north)
+		plug_storeview_add_domain(&view, NORTH);
+	return plug_storeview_end_domains(
+	    &view, now, (struct plug_store_position){ generation, revision });
 }
 
 /* @hosts is sorted by name. */
@@ -321,13 +347,61 @@
 	read_operators(1, 20, "north");
 	read_operators(2, 12, "north");
 	ck_assert(plug_storeview_begin_operators(&view, 2, true));
-	plug_storeview_take_domain(&view, NORTH, false);
+	plug_storeview_take_domain(
+	    &view, NORTH, false, (struct plug_store_position){ 2, 13 });
 	plug_storeview_end_operators(
 	    &view, now, (struct plug_store_position){ 2, 13 }, true);
 	ck_assert_uint_eq(view.out_count, 0);
 }
 END_TEST
 
+/* Guards against an evacuation that is undone by changes, or a complete read,
+ * which are older than the read of the domains that has shown it, and against
+ * one that stays after it was taken back. */
+START_TEST(older_items_do_not_undo_the_domains)
+{
+	read_operators(1, 20, "");
+	ck_assert(read_domains(1, 50, true));
+	ck_assert_uint_eq(view.out_count, 1);
+	read_change(30, 25, NORTH, true);
+	read_change(40, 35, NORTH, false);
+	ck_assert_uint_eq(view.out_count, 1);
+	read_operators(1, 45, "");
+	ck_assert_uint_eq(view.out_count, 1);
+	read_change(60, 55, NORTH, false);
+	ck_assert_uint_eq(view.out_count, 0);
+	ck_assert(read_domains(1, 70, true));
+	ck_assert(read_domains(1, 80, false));
+	ck_assert_uint_eq(view.out_count, 0);
+	read_operators(1, 90, "north");
+	ck_assert_uint_eq(view.out_count, 1);
+}
+END_TEST
+
+/* Guards against a read of the domains alone that undoes a newer change, or
+ * what a restored copy lacks, and against changes after a restore that are
+ * taken for older ones as their revisions are lower. */
+START_TEST(domains_read_alone_undo_nothing_newer)
+{
+	read_operators(1, 20, "");
+	read_change(60, 55, NORTH, true);
+	ck_assert(!read_domains(1, 50, false));
+	ck_assert_uint_eq(view.out_count, 1);
+	ck_assert(read_domains(2, 40, false));
+	ck_assert_uint_eq(view.out_count, 1);
+	ck_assert(!read_domains(1, 70, false));
+	ck_assert_uint_eq(view.out_count, 1);
+	now += SETTLED_AFTER;
+	ck_assert(read_domains(2, 45, false));
+	ck_assert_uint_eq(view.out_count, 0);
+	plug_storeview_note_restored(&view, now, "changes", "revision", 2);
+	ck_assert(plug_storeview_begin_operators(&view, 2, false));
+	plug_storeview_take_domain(
+	    &view, NORTH, true, (struct plug_store_position){ 2, 30 });
+	ck_assert_uint_eq(view.out_count, 1);
+}
+END_TEST
+
 /* Guards against new flows at a host that leaves, and against too few hosts,
  * because a copy is older than what was known. */
 START_TEST(restored_copy_removes_no_host)
@@ -490,6 +564,8 @@
 	tcase_add_test(test, changes_that_go_back_lead_to_a_complete_read);
 	tcase_add_test(test, restored_copy_takes_no_domain_back);
 	tcase_add_test(test, domain_taken_back_after_a_restore_is_back);
+	tcase_add_test(test, older_items_do_not_undo_the_domains);
+	tcase_add_test(test, domains_read_alone_undo_nothing_newer);
 	tcase_add_test(test, restored_copy_removes_no_host);
 	tcase_add_test(test, hosts_that_lapsed_in_an_outage_stay);
 	tcase_add_test(test, departed_host_is_not_used_after_a_restore);
