Place a copy of a SYN anew when its route has lost the host's service

What callers saw: a version sends all new flows of a route to another service.

Cause: a copy goes to the host that was chosen for the first one while that host can take flows. It was not asked whether the route still allows the host's service.

Ruled out: the version; the entry acted on it for other clients' flows.

Change: such a copy is placed anew, by the route in force.

Related paths, by reading: refused and postponed flows are placed by the route in force; a flow that waits at an agent keeps its first SYN, which was sent before.

--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -286,7 +286,7 @@
 
 /* Sends a copy of a SYN to the same host again, or to another one if that host
  * has gone, is leaving, is in a domain that is out of service or doesn't
- * answer. */
+ * answer, or if its service no longer has a share of the route. */
 static void
 resend_open(struct plug_track_entry *entry, plug_time now,
     struct plug_entry_flow *flow, const struct plug_segment *segment,
@@ -305,6 +305,11 @@
 		place_flow(entry, now, flow, segment, route, "host_silent");
 		return;
 	}
+	if (!plug_route_allows(route, host->service)) {
+		entry->counters[PLUG_ENTRY_REPLACED]++;
+		place_flow(entry, now, flow, segment, route, "route_changed");
+		return;
+	}
 	send_open(entry, now, flow, host, route, segment);
 }
 
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -1191,6 +1191,37 @@
 }
 END_TEST
 
+/* Guards against a copy of a SYN that goes to the host of the first one
+ * although a version of the configuration has taken the route from its service
+ * since. */
+START_TEST(copy_of_a_syn_follows_the_route)
+{
+	unsigned int syns = 0;
+
+	world.in_second_service[2] = true;
+	world_adopt_all(&world, true);
+	for (unsigned int i = 0; i < world.host_count; i++)
+		world.agent_nodes[i].isolated = true;
+	for (uint16_t port = 1; port <= 3; port++)
+		world_syn(&world, 0, port);
+	world_run(&world, 50 * PLUG_MSEC);
+	world.second_weight = 100;
+	world.config_version++;
+	world_adopt_all(&world, true);
+	for (unsigned int i = 0; i < world.host_count; i++)
+		world.agent_nodes[i].isolated = false;
+	world_run(&world, 150 * PLUG_MSEC);
+	for (uint16_t port = 1; port <= 3; port++)
+		world_syn(&world, 0, port);
+	world_run(&world, 50 * PLUG_MSEC);
+	for (unsigned int i = 0; i < world.host_count; i++)
+		syns += i == 2 ? 0 : world.hosts[i].syns_received;
+	ck_assert_uint_eq(syns, 0);
+	for (uint16_t port = 1; port <= 3; port++)
+		ck_assert_uint_eq(world.clients[port].syn_acks, 1);
+}
+END_TEST
+
 /* Guards against a client that waits for a machine which is gone for good.
  * Lookups went on for 15 s after the host list had dropped the machine on
  * lekbai-lb-grown trouble-1. */
@@ -1742,6 +1773,7 @@
 	tcase_add_test(flows, short_routes_are_learned);
 	tcase_add_test(flows, share_without_weight_gets_no_flow);
 	tcase_add_test(flows, split_is_kept_without_overload);
+	tcase_add_test(flows, copy_of_a_syn_follows_the_route);
 	tcase_add_test(flows, flow_without_route_is_reset);
 	tcase_add_test(flows, unlisted_host_is_not_waited_for);
 	tcase_add_test(flows, unlisted_host_may_still_answer);
