--- a/libplantainlug/track/agent_lookup.c
+++ b/libplantainlug/track/agent_lookup.c
@@ -84,33 +84,6 @@
 	plug_intake_hand_to_host(agent, now, segment);
 }
 
-/**
- * plug_locate_handle_unknown_flow() - handle a client's segment of a flow that
- * isn't known to be the host's
- * @agent: agent
- * @now: current time
- * @from: address of the entry's machine
- * @flow: flow of the table that the host has returned; NULL for an unknown one
- * @segment: segment; a SYN or RST is ignored
- *
- * Returns the segment to the entry if the host can't hold the flow; otherwise
- * probes the host with it.
- */
-void
-plug_locate_handle_unknown_flow(struct plug_track_agent *agent, plug_time now,
-    uint32_t from, const struct plug_host_flow *flow,
-    const struct plug_segment *segment)
-{
-	if ((segment->flags & PLUG_SEGMENT_RST) != 0 ||
-	    plug_segment_opens_flow(segment))
-		return;
-	if (flow != NULL || knows_all_flows(agent, now))
-		plug_locate_send_answer(
-		    agent, from, &segment->tuple, PLUG__HOLDING__NO, segment);
-	else
-		probe(agent, now, from, segment);
-}
-
 /* Whether the host holds a flow, according to the table. @flow is NULL if the
  * table doesn't have it; @ack is the client's last acknowledgement number. */
 static Plug__Holding
@@ -141,6 +114,33 @@
 	return PLUG__HOLDING__UNSURE;
 }
 
+/**
+ * plug_locate_handle_unknown_flow() - handle a client's segment of a flow that
+ * isn't known to be the host's
+ * @agent: agent
+ * @now: current time
+ * @from: address of the entry's machine
+ * @flow: flow of the table that the host has returned; NULL for an unknown one
+ * @segment: segment; a SYN or RST is ignored
+ *
+ * Returns the segment to the entry if the host can't hold the flow; otherwise
+ * probes the host with it.
+ */
+void
+plug_locate_handle_unknown_flow(struct plug_track_agent *agent, plug_time now,
+    uint32_t from, const struct plug_host_flow *flow,
+    const struct plug_segment *segment)
+{
+	if ((segment->flags & PLUG_SEGMENT_RST) != 0 ||
+	    plug_segment_opens_flow(segment))
+		return;
+	if (holding_of(agent, now, flow, segment->ack) == PLUG__HOLDING__NO)
+		plug_locate_send_answer(
+		    agent, from, &segment->tuple, PLUG__HOLDING__NO, segment);
+	else
+		probe(agent, now, from, segment);
+}
+
 /* Answers a question from the table of flows. If the table doesn't tell and the
  * question has a segment, hands that to the host instead. Return: whether
  * @answer was set and is to be sent now; false for a malformed question. */
--- a/libplantainlug/track/balance.h
+++ b/libplantainlug/track/balance.h
@@ -20,7 +20,7 @@
  * @first_sent_at: when the first of @flows_sent was sent; 0 if there is none
  * @avoid_until: the host is not chosen before this time; set by a refusal
  * @superseded_at: when the first snapshot was adopted that lists a later host
- * at the same address; 0 while there is none
+ *   at the same address; 0 while there is none
  */
 struct plug_host_load {
 	uint32_t flows;
--- a/libplantainlug/track/lookup.h
+++ b/libplantainlug/track/lookup.h
@@ -53,8 +53,6 @@
  *   hosts may be probed, and the flow is reset if no host has it. A bare
  *   acknowledgement gets no answer and may follow a flow that has just closed
  * @has_data: one of the saved segments has data
- * @client_silent: the client has sent nothing through this entry for longer
- * than one that waits for an answer does
  * @ack: last acknowledgement number of the client
  * @unanswered_count: number of hosts that haven't answered and don't count as
  *   gone (see ASKS_UNTIL_GONE in lookup.c)
--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -368,13 +368,13 @@
     struct plug_store_position position)
 {
 	const struct plug_storeview_domains *found = &view->found_alone;
+
 	if (position.generation != view->generation ||
 	    (position.generation == view->operators_at.generation &&
 		position.revision < view->operators_at.revision))
 		return false;
-	for (unsigned int i = 0; i < found->count; i++) {
+	for (unsigned int i = 0; i < found->count; i++)
 		set_out(view, found->ids[i], true);
-	}
 	if (!plug_storeview_lacks_items(view, now)) {
 		take_back_missing(view, found);
 		view->domains_at = position;
--- a/net/adapter.h
+++ b/net/adapter.h
@@ -38,9 +38,9 @@
 
 /**
  * struct plug_store_item - one item of an answer
+ * @revision: revision of its last change; 0 if the answer doesn't tell
  * @kind: selects the member of the union
  * @removed: the item is gone
- * @revision: revision of its last change; 0 if the answer doesn't tell
  * @readable: the member is filled; @reason tells why not
  * @key: key, for logs
  * @reason: reason of a failure, for logs
@@ -49,9 +49,9 @@
  * @host: host; its cold_until counts from 0 until the receiver adds the time
  */
 struct plug_store_item {
+	uint64_t revision;
 	enum plug_store_kind kind;
 	bool removed;
-	uint64_t revision;
 	bool readable;
 	char key[PLUG_STORE_KEY_SIZE];
 	char reason[PLUG_STATUS_MESSAGE_SIZE];
--- a/net/fetch.c
+++ b/net/fetch.c
@@ -37,7 +37,7 @@
  * @path: path and query of the GET
  * @timer: ends a GET that takes too long or whose answer stops arriving
  * @left_ms: milliseconds that it may take after the next expiry of @timer; 0
- * once the answer arrives, if handlers set stall_ms
+ *   once the answer arrives, if handlers set stall_ms
  * @received: bytes of the answer that have arrived
  * @sent_at: time when the GET was sent
  * @first_at: time when the answer began to arrive; 0 before
@@ -371,7 +371,7 @@
  * @slot: slot that isn't busy
  * @url: URL with a numeric address and a port
  * @timeout_ms: milliseconds until it fails; with handlers that set stall_ms,
- * until it fails unless the answer has begun to arrive
+ *   until it fails unless the answer has begun to arrive
  *
  * Return: false when the URL is wrong or libevent failed.
  */
@@ -398,7 +398,8 @@
 }
 
 /* The first expiry ends a GET whose connection isn't open yet, the second one
- * any. */
+ * any. While an answer arrives, the timer is set anew, unless the timeout holds
+ * for the whole answer. */
 static void
 on_timer(int fd, short what, void *data)
 {
@@ -413,6 +414,8 @@
 		arm_timer(slot, left);
 		return;
 	}
+	if (slot->received > 0 && slot->handlers.stall_ms > 0)
+		answer.reason = "the answer stopped arriving";
 	plug_fetch_cancel(slot);
 	finish(slot, &answer);
 }
--- a/net/fetch.h
+++ b/net/fetch.h
@@ -11,7 +11,7 @@
  * @body: body; borrowed for the call
  * @reason: text for the log when @status is 0
  * @received: bytes of the answer that have arrived, those of its header
- * included
+ *   included
  * @waited: time until the answer began to arrive, microseconds; 0 if it didn't
  * @arriving: time from its first to its last byte, microseconds
  * @refused: the connection could not be opened, as nothing listens at the
@@ -34,7 +34,7 @@
  * @data: first argument of both
  * @body_max: bytes of an answer's body; a longer one is an error
  * @stall_ms: milliseconds without a byte after which an answer that has begun
- * to arrive fails; 0 if the timeout of the GET holds for the whole answer
+ *   to arrive fails; 0 if the timeout of the GET holds for the whole answer
  */
 struct plug_fetch_handlers {
 	void (*header)(void *data, struct plug_str line);
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -74,7 +74,7 @@
  * struct plug_storereader - reader of the operators' part and the host list
  * @operators: reads of the operators' part
  * @domains: reads of the domains out of service alone, while the operators'
- * part is late
+ *   part is late
  * @hosts: reads of the host list
  * @view: what the answers have told
  * @exact_at: when the last exact read began
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -301,8 +301,9 @@
 				(void)snprintf(text + len, sizeof(text) - len,
 				    ",\"%s\":%s", fields[i].name, value);
 			}
-			ck_assert_uint_lt(strlen(text) + 2, sizeof(text));
-			strcat(text, "}");
+			ck_assert_uint_lt(strlen(text) + 1, sizeof(text));
+			(void)snprintf(text + strlen(text),
+			    sizeof(text) - strlen(text), "}");
 			ck_assert_msg(
 			    !read_between_others(text)->readable, "%s", text);
 		}
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -320,7 +320,7 @@
 		host = (unsigned int)world_host_of_flow(&world, port);
 		restart_agents();
 		world_restart_entry(&world, 0);
-		/* Only the flow's host and one other aren't frozen at first. */
+		/* All agents but one are frozen at first. */
 		for (unsigned int i = 2; i < world.host_count; i++)
 			world.agent_nodes[(host + i) % world.host_count]
 			    .isolated = true;
@@ -351,7 +351,7 @@
  * one. */
 START_TEST(returned_flow_may_be_opened_anew)
 {
-	unsigned int host = open_flow(), other = (host + 1) % 5, before;
+	unsigned int host = open_flow(), other, before;
 	const struct plug_host_flow *flow;
 
 	restart_agents();
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -147,7 +147,7 @@
  * @cold_per_s: new flows per second that a cold host of WORLD_SERVICE gets, in
  *   the next snapshots; 0 for no limit
  * @has_later_entry: hosts beside which the next snapshots list another one,
- * with a later start, that doesn't run
+ *   with a later start, that doesn't run
  * @in_second_service: hosts that belong to WORLD_SECOND_SERVICE in the next
  *   snapshots
  * @second_weight: weight of WORLD_SECOND_SERVICE in the route in the next
