Limit new flows of a host that the agent sees starting

Cause: that a host is cold was known from the host list only, which lags; under the same id nothing else told of the start.

Ruled out: the limiter, which keeps to the rate once the coldness is known.

Change: an agent whose host accepts connections again after it had refused them, or has another id, takes it for cold for as long as hosts of the service stay cold. Entries tell that time with each new flow. A connection that merely closed shows no start: all hosts would be limited when connections are reset.

Tests: host_restarted_under_its_id_is_cold failed before.

--- a/libplantainlug/track/agent.c
+++ b/libplantainlug/track/agent.c
@@ -194,6 +194,8 @@
 			agent->failures = (struct plug_failures){ 0 };
 			agent->reported_failing = false;
 		}
+		if (is_new || was_refusing)
+			agent->host_started_at = now;
 		if (agent->host != report->host ||
 		    report->checked_at > agent->host_seen_at)
 			agent->host_seen_at = report->checked_at;
--- a/libplantainlug/track/agent.h
+++ b/libplantainlug/track/agent.h
@@ -170,6 +170,8 @@
  * @host_state: see enum plug_host_state
  * @host: hash of the host's instance id; 0 while unknown
  * @draining: the health check says that the host is leaving
+ * @host_started_at: when the host was first seen to accept connections again
+ *   after it had refused them, or had another id; 0 if it never was
  * @address_hold: shortest time from the end of a host to the start of another
  *   one at its address
  * @flow_age_max: age from which on any flow may be discarded
@@ -213,6 +215,7 @@
 	enum plug_host_state host_state;
 	uint64_t host;
 	bool draining;
+	plug_time host_started_at;
 	plug_time address_hold;
 	plug_time flow_age_max;
 	plug_time host_seen_at;
--- a/libplantainlug/track/agent_intake.c
+++ b/libplantainlug/track/agent_intake.c
@@ -409,6 +409,23 @@
 	plug_intake_hand_to_host(agent, now, segment);
 }
 
+/* When the host stops being cold; 0 if it isn't. The entry's host list may lag,
+ * and shows no restart under the same id until the host has written its entry,
+ * so the agent goes by the start that it has seen as well. */
+static plug_time
+cold_until(
+    const struct plug_track_agent *agent, plug_time now, const Plug__Open *open)
+{
+	plug_time listed =
+	    open->cold_ms > 0 ? now + open->cold_ms * PLUG_MSEC : 0;
+	plug_time seen =
+	    agent->host_started_at == 0
+		? 0
+		: agent->host_started_at + open->cold_time_ms * PLUG_MSEC;
+
+	return listed > seen ? listed : seen;
+}
+
 /**
  * plug_intake_handle_open() - handle a new flow from an entry
  * @agent: agent
@@ -452,8 +469,7 @@
 		return;
 	}
 	plug_admission_configure(&agent->admission, now, open->slots,
-	    open->cold_milli_per_s / 1000.0,
-	    open->cold_ms > 0 ? now + open->cold_ms * PLUG_MSEC : 0);
+	    open->cold_milli_per_s / 1000.0, cold_until(agent, now, open));
 	if (!set_waiter_entry(agent, &segment.tuple, from))
 		enqueue(agent, now, from, open, &segment);
 }
--- a/libplantainlug/track/entry.c
+++ b/libplantainlug/track/entry.c
@@ -203,9 +203,11 @@
 
 	open.host = host->id;
 	open.cold_ms = cold_ms_left(host, now);
-	if (service != NULL)
+	if (service != NULL) {
 		open.cold_milli_per_s =
 		    (uint32_t)(service->cold_per_s * 1000.0);
+		open.cold_time_ms = (uint32_t)(service->cold_time / PLUG_MSEC);
+	}
 	open.slots = host->slots;
 	open.wait_ms = left > 0 ? (uint32_t)(left / PLUG_MSEC) : 0;
 	open.priority = route->priority;
--- a/proto/track.pb-c.c
+++ b/proto/track.pb-c.c
@@ -579,7 +579,7 @@
   (ProtobufCMessageInit) plug__tuple__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor plug__open__field_descriptors[11] =
+static const ProtobufCFieldDescriptor plug__open__field_descriptors[12] =
 {
   {
     "host",
@@ -713,12 +713,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_time_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Plug__Open, cold_time_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned plug__open__field_indices_by_name[] = {
   8,   /* field[8] = aged_ms */
   7,   /* field[7] = aim_ms */
   2,   /* field[2] = cold_milli_per_s */
   1,   /* field[1] = cold_ms */
+  11,   /* field[11] = cold_time_ms */
   0,   /* field[0] = host */
   10,   /* field[10] = idle_ms */
   6,   /* field[6] = priority */
@@ -730,7 +743,7 @@
 static const ProtobufCIntRange plug__open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor plug__open__descriptor =
 {
@@ -740,7 +753,7 @@
   "Plug__Open",
   "plug",
   sizeof(Plug__Open),
-  11,
+  12,
   plug__open__field_descriptors,
   plug__open__field_indices_by_name,
   1,  plug__open__number_ranges,
--- a/proto/track.pb-c.h
+++ b/proto/track.pb-c.h
@@ -115,10 +115,14 @@
    * its timeout of idle flows
    */
   uint32_t idle_ms;
+  /*
+   * how long a host stays cold after its start
+   */
+  uint32_t cold_time_ms;
 };
 #define PLUG__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&plug__open__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/test_track.c
+++ b/tests/unit/test_track.c
@@ -1035,6 +1035,39 @@
 }
 END_TEST
 
+/* Guards against more new flows than a host can handle that has started again
+ * under its id and so is cold, which the host lists of the entries don't show
+ * yet. */
+START_TEST(host_restarted_under_its_id_is_cold)
+{
+	unsigned int history[150] = { 0 };
+	uint16_t port = 0;
+
+	world.cold_per_s = 8;
+	world.cold_time = 2 * PLUG_SEC;
+	world.hosts[1].slots = 50;
+	world.hosts[1].request_time = PLUG_MSEC;
+	world_list_only(&world, 1);
+	world_run(&world, 3 * PLUG_SEC);
+	world_open(&world, 0, 300);
+	world_host_crash(&world, 1);
+	world_run(&world, PLUG_SEC);
+	world_host_start(&world, 1, world.hosts[1].id);
+	world.hosts[1].syns_received = 0;
+	for (unsigned int i = 0; i < 150; i++) {
+		world_syn(&world, i % 2, ++port);
+		world_run(&world, 20 * PLUG_MSEC);
+		history[i] = world.hosts[1].syns_received;
+		/* 50 steps are a second. It is warm after two. */
+		if (i < 100)
+			ck_assert_uint_le(
+			    history[i] - (i < 50 ? 0 : history[i - 50]),
+			    (unsigned int)(8 * 1.5 + 5));
+	}
+	ck_assert_uint_ge(history[149] - history[105], 35);
+}
+END_TEST
+
 /* Guards against more new flows than a cold host can handle, over all entries
  * and a restart of its agent: in any second at most 1.5 times the rate and 5
  * more. */
@@ -1762,6 +1795,7 @@
 	tcase_add_test(flows, running_host_is_not_displaced_by_the_list);
 	tcase_add_test(flows, replaced_host_is_not_chosen_by_an_old_report);
 	tcase_add_test(flows, new_flows_of_cold_host_are_limited);
+	tcase_add_test(flows, host_restarted_under_its_id_is_cold);
 	tcase_add_test(flows, simultaneous_clients_are_queued);
 	tcase_add_test(flows, overload_leaves_most_answers_in_time);
 	tcase_add_test(flows, refused_flows_are_rarely_sent_again);
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -260,6 +260,7 @@
 	config->idle_timeout = world->idle_timeout;
 	config->services[0].id = WORLD_SERVICE;
 	config->services[0].cold_per_s = world->cold_per_s;
+	config->services[0].cold_time = world->cold_time;
 	if (!world->no_route) {
 		config->routes[0] = (struct plug_route){
 			.vip = { WORLD_VIP, WORLD_VIP_PORT },
--- a/tests/unit/trackworld.h
+++ b/tests/unit/trackworld.h
@@ -148,6 +148,8 @@
  *   the next snapshots; 0 for no limit
  * @has_later_entry: hosts beside which the next snapshots list another one,
  *   with a later start, that doesn't run
+ * @cold_time: how long a host of WORLD_SERVICE stays cold after its start, in
+ * the next snapshots
  * @in_second_service: hosts that belong to WORLD_SECOND_SERVICE in the next
  *   snapshots
  * @second_weight: weight of WORLD_SECOND_SERVICE in the route in the next
@@ -181,6 +183,7 @@
 	bool has_later_entry[WORLD_HOSTS_MAX];
 	plug_time cold_until[WORLD_HOSTS_MAX];
 	double cold_per_s;
+	plug_time cold_time;
 	bool in_second_service[WORLD_HOSTS_MAX];
 	uint32_t second_weight;
 	bool far_domain_out;
