Take the hosts of a domain that is taken back for cold

Cause: entries follow the operators' part and so know at once that a domain is back, but that its hosts are cold only from the host list, which lags.

Why this way: a warm host gets fewer flows for some seconds, and other domains serve them; a cold one under full load falls over.

Tests: hosts_of_a_domain_taken_back_are_cold failed before.

--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -134,7 +134,15 @@
 }
 
 static void
-set_out(struct plug_storeview *view, uint32_t domain, bool out)
+take_back(struct plug_storeview *view, plug_time now, unsigned int index)
+{
+	view->back[view->back_count++ % PLUG_DOMAINS_OUT_MAX] =
+	    (struct plug_storeview_back){ view->out[index], now };
+	view->out[index] = view->out[--view->out_count];
+}
+
+static void
+set_out(struct plug_storeview *view, plug_time now, uint32_t domain, bool out)
 {
 	unsigned int i = 0;
 
@@ -143,7 +151,7 @@
 	if (out && i == view->out_count && i < PLUG_DOMAINS_OUT_MAX)
 		view->out[view->out_count++] = domain;
 	else if (!out && i < view->out_count)
-		view->out[i] = view->out[--view->out_count];
+		take_back(view, now, i);
 	else
 		return;
 	plug_client_log(view->client, PLUG_LOG_INFO,
@@ -171,6 +179,7 @@
 /**
  * plug_storeview_take_domain() - take the state of a domain that was read
  * @view: view
+ * @now: time
  * @domain: hash of its name
  * @out: it is out of service
  * @position: generation of the answer and revision of the item, which is 0 if
@@ -179,13 +188,13 @@
  * Without effect if the domains were read alone since the item was written.
  */
 void
-plug_storeview_take_domain(struct plug_storeview *view, uint32_t domain,
-    bool out, struct plug_store_position position)
+plug_storeview_take_domain(struct plug_storeview *view, plug_time now,
+    uint32_t domain, bool out, struct plug_store_position position)
 {
 	if (out)
 		add_domain(&view->found, domain);
 	if (!domains_are_newer(view, position))
-		set_out(view, domain, out);
+		set_out(view, now, domain, out);
 }
 
 /**
@@ -292,14 +301,14 @@
 /* What was taken back while the history was dropped is missed by the changes:
  * a complete read doesn't show it. */
 static void
-take_back_missing(
-    struct plug_storeview *view, const struct plug_storeview_domains *found)
+take_back_missing(struct plug_storeview *view, plug_time now,
+    const struct plug_storeview_domains *found)
 {
 	for (unsigned int i = view->out_count; i-- > 0;) {
 		uint32_t domain = view->out[i];
 
 		if (!contains(found, domain))
-			set_out(view, domain, false);
+			set_out(view, now, domain, false);
 	}
 }
 
@@ -320,7 +329,7 @@
 		    plug_storeview_lacks_items(view, now);
 		if (!view->operators_unconfirmed &&
 		    !domains_are_newer(view, position))
-			take_back_missing(view, &view->found);
+			take_back_missing(view, now, &view->found);
 	} else if (position.revision < view->operators_at.revision) {
 		plug_storeview_note_restored(
 		    view, now, "changes", "revision", position.generation);
@@ -374,14 +383,36 @@
 		position.revision < view->operators_at.revision))
 		return false;
 	for (unsigned int i = 0; i < found->count; i++)
-		set_out(view, found->ids[i], true);
+		set_out(view, now, found->ids[i], true);
 	if (!plug_storeview_lacks_items(view, now)) {
-		take_back_missing(view, found);
+		take_back_missing(view, now, found);
 		view->domains_at = position;
 	}
 	return true;
 }
 
+/* When the hosts of a domain that was taken back count as warm; 0 if it wasn't.
+ * They may be cold since then, which the list shows only after a while. */
+static plug_time
+cold_until(
+    const struct plug_storeview *view, const struct plug_fleet_host *host)
+{
+	const struct plug_service_config *service =
+	    plug_config_find_service(view->config, host->service);
+	plug_time until = 0;
+
+	for (unsigned int i = 0; service != NULL && i < view->back_count &&
+				 i < PLUG_DOMAINS_OUT_MAX;
+	     i++) {
+		const struct plug_storeview_back *back = &view->back[i];
+
+		if (back->domain == host->domain &&
+		    back->at + service->cold_time > until)
+			until = back->at + service->cold_time;
+	}
+	return until;
+}
+
 /**
  * plug_storeview_fleet() - snapshot for the traffic threads
  * @view: view
@@ -403,6 +434,13 @@
 	if (view->hosts.count > 0)
 		memcpy(fleet->hosts, view->hosts.hosts,
 		    view->hosts.count * sizeof(*fleet->hosts));
+	for (unsigned int i = 0; view->back_count > 0 && i < fleet->host_count;
+	     i++) {
+		const plug_time until = cold_until(view, &fleet->hosts[i]);
+
+		if (until > fleet->hosts[i].cold_until)
+			fleet->hosts[i].cold_until = until;
+	}
 	plug_fleet_complete(fleet);
 	fleet->revision = view->position.revision;
 	fleet->consistent_read_at = view->consistent_read_at;
--- a/libplantainlug/track/storeview.h
+++ b/libplantainlug/track/storeview.h
@@ -40,6 +40,16 @@
 	uint32_t ids[PLUG_DOMAINS_OUT_MAX];
 };
 
+/**
+ * struct plug_storeview_back - a domain that was taken back
+ * @domain: hash of its name
+ * @at: time when that was learned; 0 for an unused place
+ */
+struct plug_storeview_back {
+	uint32_t domain;
+	plug_time at;
+};
+
 /**
  * struct plug_storeview_read - a complete read of the host list
  * @began: time when its first page was asked for
@@ -74,6 +84,8 @@
  * @config: configuration in force; NULL before the first one
  * @out_count: length of @out
  * @out: hashes of the domains that are out of service
+ * @back_count: domains that were taken back, in all; the last ones are in @back
+ * @back: the n-th one at index n modulo its length
  * @changes_suffice: the operators' part is known up to @operators_at, so that
  *   its changes are read next, not the complete part
  * @operators_at: position of the last read of that part
@@ -109,6 +121,8 @@
 	struct plug_config *config;
 	unsigned int out_count;
 	uint32_t out[PLUG_DOMAINS_OUT_MAX];
+	unsigned int back_count;
+	struct plug_storeview_back back[PLUG_DOMAINS_OUT_MAX];
 	bool changes_suffice;
 	struct plug_store_position operators_at;
 	struct plug_storeview_domains found;
@@ -139,8 +153,8 @@
 void plug_storeview_note_failure(struct plug_storeview *view, plug_time now);
 bool plug_storeview_take_config(
     struct plug_storeview *view, struct plug_config *config);
-void plug_storeview_take_domain(struct plug_storeview *view, uint32_t domain,
-    bool out, struct plug_store_position position);
+void plug_storeview_take_domain(struct plug_storeview *view, plug_time now,
+    uint32_t domain, bool out, struct plug_store_position position);
 void plug_storeview_begin_domains(struct plug_storeview *view);
 void plug_storeview_add_domain(struct plug_storeview *view, uint32_t domain);
 bool plug_storeview_end_domains(struct plug_storeview *view, plug_time now,
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -266,8 +266,8 @@
 			    reader->handlers.data, reader->view.config);
 		return;
 	case PLUG_STORE_DOMAIN_OUT:
-		plug_storeview_take_domain(&reader->view, item->domain,
-		    !item->removed,
+		plug_storeview_take_domain(&reader->view, plug_clock_now(),
+		    item->domain, !item->removed,
 		    (struct plug_store_position){
 			reader->operators.generation, item->revision });
 		return;
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -108,9 +108,9 @@
 	plug_storeview_note_generation(&view, now, generation, "operators");
 	ck_assert(plug_storeview_begin_operators(&view, generation, false));
 	if (strstr(out, "north") != NULL)
-		plug_storeview_take_domain(&view, NORTH, true, at);
+		plug_storeview_take_domain(&view, now, NORTH, true, at);
 	if (strstr(out, "south") != NULL)
-		plug_storeview_take_domain(&view, SOUTH, true, at);
+		plug_storeview_take_domain(&view, now, SOUTH, true, at);
 	plug_storeview_end_operators(&view, now, at, false);
 }
 
@@ -121,7 +121,7 @@
 	const struct plug_store_position at = { 1, changed_at };
 
 	ck_assert(plug_storeview_begin_operators(&view, 1, true));
-	plug_storeview_take_domain(&view, domain, out, at);
+	plug_storeview_take_domain(&view, now, domain, out, at);
 	plug_storeview_end_operators(
 	    &view, now, (struct plug_store_position){ 1, revision }, true);
 }
@@ -348,13 +348,48 @@
 	read_operators(2, 12, "north");
 	ck_assert(plug_storeview_begin_operators(&view, 2, true));
 	plug_storeview_take_domain(
-	    &view, NORTH, false, (struct plug_store_position){ 2, 13 });
+	    &view, now, NORTH, false, (struct plug_store_position){ 2, 13 });
 	plug_storeview_end_operators(
 	    &view, now, (struct plug_store_position){ 2, 13 }, true);
 	ck_assert_uint_eq(view.out_count, 0);
 }
 END_TEST
 
+/* Guards against hosts that get more than they bear when their domain is taken
+ * back: they may be cold since then, and the list shows it later. */
+START_TEST(hosts_of_a_domain_taken_back_are_cold)
+{
+	struct plug_config *config = plug_config_create(0, 1);
+	struct plug_fleet *fleet;
+
+	ck_assert_ptr_nonnull(config);
+	config->version = 1;
+	config->services[0].id = SERVICE;
+	config->services[0].cold_time = 4 * PLUG_SEC;
+	(void)plug_storeview_take_config(&view, config);
+	read_operators(1, 20, "north");
+	for (uint32_t domain = NORTH; domain <= SOUTH; domain++) {
+		const struct plug_fleet_host host = { .id = domain,
+			.service = SERVICE,
+			.domain = domain,
+			.slots = 1 };
+
+		plug_storeview_add_host(&view, now, &host);
+	}
+	ck_assert(plug_storeview_end_hosts(&view, now,
+	    &(struct plug_storeview_read){
+		.began = now, .position = { 1, 21 }, .consistent = true }));
+	now += PLUG_SEC;
+	read_change(30, 25, NORTH, false);
+	fleet = plug_storeview_fleet(&view, now);
+	ck_assert_ptr_nonnull(fleet);
+	ck_assert_int_eq(
+	    plug_fleet_find_host(fleet, NORTH)->cold_until, now + 4 * PLUG_SEC);
+	ck_assert_int_eq(plug_fleet_find_host(fleet, SOUTH)->cold_until, 0);
+	plug_fleet_release(fleet);
+}
+END_TEST
+
 /* Guards against an evacuation that is undone by changes, or a complete read,
  * which are older than the read of the domains that has shown it, and against
  * one that stays after it was taken back. */
@@ -397,7 +432,7 @@
 	plug_storeview_note_restored(&view, now, "changes", "revision", 2);
 	ck_assert(plug_storeview_begin_operators(&view, 2, false));
 	plug_storeview_take_domain(
-	    &view, NORTH, true, (struct plug_store_position){ 2, 30 });
+	    &view, now, NORTH, true, (struct plug_store_position){ 2, 30 });
 	ck_assert_uint_eq(view.out_count, 1);
 }
 END_TEST
@@ -564,6 +599,7 @@
 	tcase_add_test(test, changes_that_go_back_lead_to_a_complete_read);
 	tcase_add_test(test, restored_copy_takes_no_domain_back);
 	tcase_add_test(test, domain_taken_back_after_a_restore_is_back);
+	tcase_add_test(test, hosts_of_a_domain_taken_back_are_cold);
 	tcase_add_test(test, older_items_do_not_undo_the_domains);
 	tcase_add_test(test, domains_read_alone_undo_nothing_newer);
 	tcase_add_test(test, restored_copy_removes_no_host);
