Split a route between any number of services

Cause: a route had room for eight shares, and a route that can't be represented makes the version unreadable.

Change: a configuration has one array with the shares of all routes, as long as they need. A route with one share takes 16 bytes of it in place of 128.

Tests: route_is_split_between_any_number_of_services failed before.

--- a/libplantainlug/track/fleet.c
+++ b/libplantainlug/track/fleet.c
@@ -6,13 +6,15 @@
 /**
  * plug_config_create() - allocate a configuration
  * @route_count: length of the routes array
+ * @share_count: length of the shares array, for the shares of all routes
  * @service_count: length of the services array
  *
  * Return: a zeroed configuration with one reference, or NULL when out of
  * memory.
  */
 struct plug_config *
-plug_config_create(unsigned int route_count, unsigned int service_count)
+plug_config_create(unsigned int route_count, unsigned int share_count,
+    unsigned int service_count)
 {
 	struct plug_config *config = calloc(1, sizeof(*config));
 
@@ -22,8 +24,10 @@
 	config->route_count = route_count;
 	config->service_count = service_count;
 	config->routes = calloc(route_count + 1, sizeof(*config->routes));
+	config->shares = calloc(share_count + 1, sizeof(*config->shares));
 	config->services = calloc(service_count + 1, sizeof(*config->services));
-	if (config->routes == NULL || config->services == NULL) {
+	if (config->routes == NULL || config->shares == NULL ||
+	    config->services == NULL) {
 		plug_config_release(config);
 		return NULL;
 	}
@@ -53,6 +57,7 @@
 	if (config == NULL || atomic_fetch_sub(&config->references, 1) != 1)
 		return;
 	free(config->routes);
+	free(config->shares);
 	free(config->services);
 	free(config);
 }
--- a/libplantainlug/track/fleet.h
+++ b/libplantainlug/track/fleet.h
@@ -6,7 +6,6 @@
 #include "../document.h"
 #include "segment.h"
 
-#define PLUG_ROUTE_SHARES_MAX 8	 /* services per route */
 #define PLUG_DOMAINS_OUT_MAX  16 /* domains out of service at once */
 #define PLUG_HEALTH_PATH_SIZE 96 /* bytes, with the NUL */
 
@@ -28,7 +27,8 @@
  * @priority: priority of the route's requests; 0 is the highest
  * @share_count: length of @shares
  * @weight_sum: sum of the weights; if 0, no service gets flows of the route
- * @shares: services that the new flows are split between
+ * @shares: services that the new flows are split between, part of the shares of
+ *   the configuration
  */
 struct plug_route {
 	struct plug_endpoint vip;
@@ -37,7 +37,7 @@
 	uint32_t priority;
 	unsigned int share_count;
 	uint32_t weight_sum;
-	struct plug_route_share shares[PLUG_ROUTE_SHARES_MAX];
+	struct plug_route_share *shares;
 };
 
 /**
@@ -64,6 +64,7 @@
  * @idle_timeout: idle time after which a flow may be forgotten, microseconds
  * @route_count: length of @routes
  * @routes: routes, sorted by vip
+ * @shares: shares of all routes
  * @service_count: length of @services
  * @services: services, in no particular order
  */
@@ -73,6 +74,7 @@
 	plug_time idle_timeout;
 	unsigned int route_count;
 	struct plug_route *routes;
+	struct plug_route_share *shares;
 	unsigned int service_count;
 	struct plug_service_config *services;
 };
@@ -149,8 +151,8 @@
 	uint32_t out_domains[PLUG_DOMAINS_OUT_MAX];
 };
 
-struct plug_config *
-plug_config_create(unsigned int route_count, unsigned int service_count);
+struct plug_config *plug_config_create(unsigned int route_count,
+    unsigned int share_count, unsigned int service_count);
 struct plug_config *plug_config_reference(struct plug_config *config);
 void plug_config_release(struct plug_config *config);
 void plug_config_complete(struct plug_config *config);
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -379,6 +379,46 @@
 }
 END_TEST
 
+/* Guards against a version that is ignored as a whole because one of its routes
+ * is split between many services. */
+START_TEST(route_is_split_between_any_number_of_services)
+{
+	enum { SERVICES = 40 };
+	char text[4096] = "{\"version\":3,\"services\":[],\"routes\":["
+			  "{\"host\":\"198.18.0.2\",\"prefix\":\"/80/\","
+			  "\"service\":\"a\"},{\"host\":\"198.18.0.1\","
+			  "\"prefix\":\"/80/\",\"traffic-split\":[";
+	struct plug_config *config;
+	const struct plug_route *route;
+	struct plug_status status;
+	struct json_object *value;
+
+	for (unsigned int i = 0; i < SERVICES; i++)
+		(void)snprintf(text + strlen(text), sizeof(text) - strlen(text),
+		    "%s{\"service\":\"s%u\",\"weight\":%u}", i == 0 ? "" : ",",
+		    i, i + 1);
+	(void)snprintf(
+	    text + strlen(text), sizeof(text) - strlen(text), "]}]}");
+	value = json_tokener_parse(text);
+	ck_assert_ptr_nonnull(value);
+	plug_status_init(&status);
+	ck_assert_msg(
+	    plug_config_decode(value, &config, &status), "%s", status.message);
+	json_object_put(value);
+	route = plug_config_find_route(
+	    config, (struct plug_endpoint){ 0xc6120001, 80 });
+	ck_assert_ptr_nonnull(route);
+	ck_assert_uint_eq(route->share_count, SERVICES);
+	ck_assert_uint_eq(route->weight_sum, SERVICES * (SERVICES + 1) / 2);
+	ck_assert(plug_route_allows(route, plug_str_hash(PLUG_STR("s39"))));
+	route = plug_config_find_route(
+	    config, (struct plug_endpoint){ 0xc6120002, 80 });
+	ck_assert_ptr_nonnull(route);
+	ck_assert(plug_route_allows(route, plug_str_hash(PLUG_STR("a"))));
+	plug_config_release(config);
+}
+END_TEST
+
 /* Guards against a crash or a half-read list on answers that were cut. */
 START_TEST(broken_answers_are_refused)
 {
@@ -573,6 +613,7 @@
 	tcase_add_test(test, entry_without_a_field_names_no_host);
 	tcase_add_test(test, deeply_nested_entry_names_no_host);
 	tcase_add_test(test, operators_part);
+	tcase_add_test(test, route_is_split_between_any_number_of_services);
 	tcase_add_test(test, broken_answers_are_refused);
 	tcase_add_test(test, query_urls);
 	tcase_add_test(test, cursor_takes_any_key);
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -50,7 +50,7 @@
 static void
 take_config(uint64_t version)
 {
-	struct plug_config *config = plug_config_create(0, 0);
+	struct plug_config *config = plug_config_create(0, 0, 0);
 
 	ck_assert_ptr_nonnull(config);
 	config->version = version;
@@ -359,7 +359,7 @@
  * back: they may be cold since then, and the list shows it later. */
 START_TEST(hosts_of_a_domain_taken_back_are_cold)
 {
-	struct plug_config *config = plug_config_create(0, 1);
+	struct plug_config *config = plug_config_create(0, 0, 1);
 	struct plug_fleet *fleet;
 
 	ck_assert_ptr_nonnull(config);
@@ -543,7 +543,7 @@
 static void
 expect_superseded(const char *services, const char *expected)
 {
-	struct plug_config *config = plug_config_create(0, 1);
+	struct plug_config *config = plug_config_create(0, 0, 1);
 	const size_t count = strlen(services);
 	struct plug_fleet *fleet;
 
--- a/tests/unit/trackworld.c
+++ b/tests/unit/trackworld.c
@@ -251,7 +251,7 @@
 world_adopt(struct world *world, unsigned int entry, bool consistent)
 {
 	struct plug_config *config =
-	    plug_config_create(world->no_route ? 0 : 1, 1);
+	    plug_config_create(world->no_route ? 0 : 1, 2, 1);
 	const struct plug_fleet *old = world->entries[entry].balance.fleet;
 	struct plug_fleet *fleet;
 	unsigned int count = 0;
@@ -267,10 +267,13 @@
 			.target_latency = WORLD_TARGET_LATENCY,
 			.request_timeout = WORLD_REQUEST_TIMEOUT,
 			.share_count = 2,
-			.shares = { { WORLD_SERVICE,
-					100 - world->second_weight },
-			    { WORLD_SECOND_SERVICE, world->second_weight } },
+			.shares = config->shares,
 		};
+		config->shares[0] = (struct plug_route_share){ WORLD_SERVICE,
+			100 - world->second_weight };
+		config->shares[1] =
+		    (struct plug_route_share){ WORLD_SECOND_SERVICE,
+			    world->second_weight };
 	}
 	plug_config_complete(config);
 	fleet = plug_fleet_create(config, 2 * world->host_count);
