--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 CAPACITY_NAMES = $(patsubst bench/%.c,%,$(wildcard bench/capacity_*.c))
 SCENARIO_SOURCES = $(wildcard tests/scenario/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
-FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c
+FUZZ_DRIVERS = net/buffer.c net/frame.c net/record.c platform/config.c \
+	platform/store.c
 HAND_WRITTEN = $(wildcard libplantainlug/*.[ch] libplantainlug/track/*.[ch] platform/*.[ch] net/*.[ch] cli/*.[ch] \
 	standins/*.[ch] tests/unit/*.[ch] tests/fuzz/*.[ch] tests/scenario/*.[ch] \
 	tests/replay/*.[ch] \
