--- a/tests/process/slowlink.py
+++ b/tests/process/slowlink.py
@@ -8,7 +8,10 @@
 it has missed before it learns of an evacuation and of the last version. Prints
 one line for each step and exits with 1 when a check fails.
 
-usage: slowlink.py PROGRAM
+Other sizes are for measurements by hand: a configuration of ROUTES, a link of
+MBITS, and an entry that is cut off for CUT seconds.
+
+usage: slowlink.py PROGRAM [ROUTES MBITS CUT]
 """
 
 import json
@@ -23,7 +26,7 @@
 from ports import free_port
 from restored import Failed, Handler, Store, step
 
-LINK = 10e6 / 8        # bytes a second
+MBITS = 10.0           # of the link, unless the command line tells
 VALUE_MAX = 1048576    # bytes of a value
 CHUNK = 12500          # bytes sent at a time
 WATCH_MAX = 1048576    # bytes after which a watch leaves the rest for the next
@@ -36,7 +39,8 @@
 class Link:
     """Serves the store's answers at the bandwidth of one link."""
 
-    def __init__(self):
+    def __init__(self, mbits):
+        self.bytes_per_s = mbits * 1e6 / 8
         self.lock = threading.Lock()
         self.free_at = 0.0
 
@@ -45,7 +49,7 @@
             chunk = data[at:at + CHUNK]
             with self.lock:
                 start = max(time.monotonic(), self.free_at)
-                self.free_at = start + len(chunk) / LINK
+                self.free_at = start + len(chunk) / self.bytes_per_s
                 until = self.free_at
             time.sleep(max(0, until - time.monotonic()))
             file.write(chunk)
@@ -91,12 +95,12 @@
 
 
 class Entry:
-    def __init__(self, program, folder, store):
+    def __init__(self, program, folder, store, mbits):
         self.program = program
         self.log = os.path.join(folder, "entry.log")
         self.settings = os.path.join(folder, "entry.json")
         server = restored.serve(store, self, SlowHandler)
-        server.link = Link()
+        server.link = Link(mbits)
         # A port may be taken between its choice and the start.
         for _ in range(restored.START_TRIES):
             self.start(server.server_address[1])
@@ -134,17 +138,19 @@
         raise Failed(what)
 
 
-def config(version):
-    """A configuration whose value is as large as values may be."""
-    def text(count):
-        return {"version": version, "routes": [{"name": "r-%06d" % i,
-            "host": "198.18.%d.%d" % (i // 250, i % 250 + 1),
-            "prefix": "/443/", "kind": "idempotent", "timeout-ms": 800,
-            "target-latency-ms": 250, "priority": 2, "service": "s",
-            "max-attempts": 2} for i in range(count)],
-            "services": [{"name": "s", "health-path": "/health"}]}
-    two, one = (len(json.dumps(text(count))) for count in (2, 1))
-    return text((VALUE_MAX - one) // (two - one))
+def config(version, routes):
+    return {"version": version, "routes": [{"name": "r-%06d" % i,
+        "host": "198.18.%d.%d" % (i // 250, i % 250 + 1),
+        "prefix": "/443/", "kind": "idempotent", "timeout-ms": 800,
+        "target-latency-ms": 250, "priority": 2, "service": "s",
+        "max-attempts": 2} for i in range(routes)],
+        "services": [{"name": "s", "health-path": "/health"}]}
+
+
+def most_routes():
+    """Routes of the largest configuration that a value may have."""
+    two, one = (len(json.dumps(config(1, routes))) for routes in (2, 1))
+    return (VALUE_MAX - one) // (two - one)
 
 
 def write(store, key, value):
@@ -160,33 +166,34 @@
         store.history = []
 
 
-def play(program, folder):
+def play(program, folder, routes, mbits, cut):
     store = Store()
-    write(store, "op/config", config(1))
+    write(store, "op/config", config(1, routes))
     write(store, "servers/i-1", {"service": "s", "address": "127.0.2.1:9",
         "zone": "south", "version": "v", "slots": 2, "state": "ready",
         "cold-remaining-ms": 0, "seq": 1, "born": 1})
-    entry = Entry(program, folder, store)
+    entry = Entry(program, folder, store, mbits)
     try:
-        entry.wait_for("ready_with_the_largest_configuration", "event=ready",
-            GENEROUS)
+        entry.wait_for("ready", "event=ready", GENEROUS)
         drop_history(store)
         entry.wait_for("history_dropped", "event=store_history_dropped",
             GENEROUS)
-        at = write(store, "op/config", config(2))
+        at = write(store, "op/config", config(2, routes))
         entry.wait_for("change_in_force", "event=config_adopted version=2",
             APPLY, at)
         at = write(store, "op/evacuate/south", {})
         entry.wait_for("domain_out", "event=domain_out", APPLY, at)
-        write(store, "op/evacuate/south", None)
+        at = write(store, "op/evacuate/south", None)
         entry.wait_for("domain_back", "event=domain_back", APPLY, at)
         with store.changed:
             store.refused.add(entry)
         entry.wait_for("cut_off", "event=store_lost", GENEROUS)
         for version in range(3, 3 + MISSED):
-            write(store, "op/config", config(version))
-            SlowHandler.item("op/config", config(version), store.revision)
+            value = config(version, routes)
+            write(store, "op/config", value)
+            SlowHandler.item("op/config", value, store.revision)
         write(store, "op/evacuate/north", {})
+        time.sleep(cut)
         with store.changed:
             store.refused.discard(entry)
         at = time.monotonic()
@@ -205,8 +212,13 @@
 
 
 def main():
+    routes, mbits, cut = most_routes(), MBITS, 0.0
+    if len(sys.argv) > 2:
+        routes, mbits, cut = (int(sys.argv[2]), float(sys.argv[3]),
+            float(sys.argv[4]))
     with tempfile.TemporaryDirectory(prefix="plantainlug-") as folder:
-        sys.exit(play(os.path.abspath(sys.argv[1]), folder))
+        sys.exit(play(os.path.abspath(sys.argv[1]), folder, routes, mbits,
+            cut))
 
 
 if __name__ == "__main__":
