Log each item that can't be used once, and list them in explain store

What operators saw: of several entries that lacked fields, the log named one in five seconds, always the first of the answer, so that it didn't tell what the others were nor whether they changed.

Change: each revision of an item has one line, with the revision; at most 20 lines in 5 s, and the next ones follow in the next answer. explain store prints a row left_out for each such item of each process.

--- a/libplantainlug/explain_store.c
+++ b/libplantainlug/explain_store.c
@@ -45,7 +45,8 @@
 {
 	static const char *const events[] = { "start", "config_adopted",
 		"domain_out", "domain_back", "host_listed", "host_draining",
-		"host_ready", "host_gone", "store_restored" };
+		"host_ready", "host_gone", "store_restored",
+		"store_item_unreadable" };
 
 	if (explain->query.to != 0 && line->time > explain->query.to)
 		return false;
@@ -132,7 +133,8 @@
 		forget(beliefs, belief.name);
 		return;
 	}
-	if (plug_explain_is(record, "store_restored"))
+	if (plug_explain_is(record, "store_restored") ||
+	    plug_explain_is(record, "store_item_unreadable"))
 		return;
 	if (plug_explain_is(record, "domain_out") ||
 	    plug_explain_is(record, "domain_back")) {
@@ -290,11 +292,62 @@
 	    restores);
 }
 
+static bool
+has_same(const struct plug_logline *a, const struct plug_logline *b,
+    const char *field)
+{
+	return plug_str_equal(
+	    plug_logline_get(a, field), plug_logline_get(b, field));
+}
+
+/* Whether a later line of the same process tells of the same item. */
+static bool
+is_repeated(const struct plug_explain *explain, size_t index)
+{
+	const struct plug_logline *line = &explain->records[index].line;
+
+	for (size_t i = index + 1; i < explain->count; i++) {
+		const struct plug_explain_record *later = &explain->records[i];
+
+		if (plug_explain_is(later, "store_item_unreadable") &&
+		    plug_str_equal(later->line.name, line->name) &&
+		    has_same(&later->line, line, "key"))
+			return true;
+	}
+	return false;
+}
+
+/* Prints the items that processes have left out, each with its last reason. */
+static void
+print_left_out(const struct plug_explain *explain,
+    const struct plug_explain_output *output)
+{
+	for (size_t i = 0; i < explain->count; i++) {
+		const struct plug_logline *line = &explain->records[i].line;
+		struct plug_str key, revision, reason;
+
+		if (!plug_explain_is(
+			&explain->records[i], "store_item_unreadable") ||
+		    is_repeated(explain, i))
+			continue;
+		key = plug_logline_get(line, "key");
+		revision = plug_logline_get(line, "revision");
+		reason = plug_logline_get(line, "reason");
+		plug_explain_row(output,
+		    "event=left_out name=%.*s key=%.*s revision=%.*s "
+		    "reason=\"%.*s\"",
+		    (int)line->name.len, line->name.data, (int)key.len,
+		    key.data, (int)revision.len, revision.data, (int)reason.len,
+		    reason.data);
+	}
+}
+
 /**
  * plug_explain_store_report() - where entries differ about the store
  * @explain: explanation that was fed all lines, ordered by time
  * @output: receives a row for each entry, one for each value of an item that
- *   not all of them hold, and a summary
+ *   not all of them hold, one for each item that a process has left out, and a
+ *   summary
  *
  * Return: whether the logs hold anything on it.
  */
@@ -321,10 +374,12 @@
 		    print_item(&beliefs, &names, item, output))
 			differences++;
 	}
-	if (found)
+	if (found) {
+		print_left_out(explain, output);
 		plug_explain_row(output,
 		    "event=summary entries=%zu differences=%u", names.used,
 		    differences);
+	}
 	plug_tally_finish(&names);
 	free(beliefs.list);
 	return found;
--- a/net/storereader.c
+++ b/net/storereader.c
@@ -43,7 +43,12 @@
 #define STATUS_OK   200
 #define STATUS_GONE 410 /* the history that was asked for was dropped */
 
-#define UNREADABLE_INTERVAL (5 * PLUG_SEC) /* between log lines about them */
+/* Each revision of an item that can't be used is logged once, with at most
+ * UNREADABLE_LINES lines in UNREADABLE_INTERVAL. The last UNREADABLE_REMEMBERED
+ * ones are known to have their line. */
+#define UNREADABLE_INTERVAL   (5 * PLUG_SEC)
+#define UNREADABLE_LINES      20
+#define UNREADABLE_REMEMBERED 256
 
 /**
  * struct part - one of the things that are read over and over
@@ -70,6 +75,21 @@
 	struct plug_backoff backoff;
 };
 
+/**
+ * struct unreadable_log - items that can't be used and have a log line
+ * @items: hashes of their keys and revisions, the n-th one at index n modulo
+ * the length
+ * @count: number of lines, in all
+ * @began: begin of the current interval
+ * @lines: lines in the current interval
+ */
+struct unreadable_log {
+	uint64_t items[UNREADABLE_REMEMBERED];
+	unsigned int count;
+	plug_time began;
+	unsigned int lines;
+};
+
 /**
  * struct plug_storereader - reader of the operators' part and the host list
  * @operators: reads of the operators' part
@@ -79,7 +99,7 @@
  * @view: what the answers have told
  * @exact_at: when the last exact read began
  * @exact_wanted: an exact read was asked for
- * @unreadable_logged: time of the last log line about unreadable items
+ * @unreadable: items that can't be used
  */
 struct plug_storereader {
 	const struct plug_adapter *adapter;
@@ -92,7 +112,7 @@
 	struct plug_storeview view;
 	plug_time exact_at;
 	bool exact_wanted;
-	plug_time unreadable_logged;
+	struct unreadable_log unreadable;
 	uint64_t counters[PLUG_STORE_COUNTERS];
 };
 
@@ -231,20 +251,38 @@
 		reader->handlers.fleet(reader->handlers.data, fleet);
 }
 
+/* Return: whether an item is to be logged, which is noted then. */
+static bool
+take_line(struct unreadable_log *log, plug_time now, uint64_t item)
+{
+	for (unsigned int i = 0; i < log->count && i < UNREADABLE_REMEMBERED;
+	     i++) {
+		if (log->items[i] == item)
+			return false;
+	}
+	if (log->began == 0 || now - log->began >= UNREADABLE_INTERVAL) {
+		log->began = now;
+		log->lines = 0;
+	}
+	if (log->lines == UNREADABLE_LINES)
+		return false;
+	log->lines++;
+	log->items[log->count++ % UNREADABLE_REMEMBERED] = item;
+	return true;
+}
+
 static void
 log_unreadable(
     struct plug_storereader *reader, const struct plug_store_item *item)
 {
-	plug_time now = plug_clock_now();
-
 	reader->counters[PLUG_STORE_UNREADABLE]++;
-	if (reader->unreadable_logged != 0 &&
-	    now - reader->unreadable_logged < UNREADABLE_INTERVAL)
+	if (!take_line(&reader->unreadable, plug_clock_now(),
+		plug_str_hash(plug_str_from(item->key)) + item->revision))
 		return;
-	reader->unreadable_logged = now;
 	plug_client_log(reader->client, PLUG_LOG_WARN,
-	    "event=store_item_unreadable key=%s reason=\"%s\" total=%llu",
-	    item->key, item->reason,
+	    "event=store_item_unreadable key=%s revision=%llu reason=\"%s\" "
+	    "total=%llu",
+	    item->key, (unsigned long long)item->revision, item->reason,
 	    (unsigned long long)reader->counters[PLUG_STORE_UNREADABLE]);
 }
 
--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -271,6 +271,10 @@
         wait_for("answer", deployment.request)
         wait_for("foreign_entry_named", lambda: deployment.log_has("entry",
             "event=store_item_unreadable key=servers/foreign"))
+        # Guards against entries that are left out without a word.
+        wait_for("each_left_out_entry_named", lambda: all(
+            deployment.log_has("entry", "key=%s " % key)
+            for key in Store.items if key.startswith("servers/lacks-")))
         # Guards against an entry that stops an entry from following the list.
         Store.items["servers/i-2"] = {**Store.items["servers/i-1"],
             "state": "draining"}
