Log a domain that can't be taken out of service because 16 are

What operators would see: a 17th domain stays in use, and no line says so. Found while the limits were listed. domain_beyond_the_limit_is_logged failed before for want of the line; the limit itself is as before.

--- a/libplantainlug/track/storeview.c
+++ b/libplantainlug/track/storeview.c
@@ -148,7 +148,12 @@
 
 	while (i < view->out_count && view->out[i] != domain)
 		i++;
-	if (out && i == view->out_count && i < PLUG_DOMAINS_OUT_MAX)
+	if (out && i == PLUG_DOMAINS_OUT_MAX) {
+		plug_client_log(view->client, PLUG_LOG_WARN,
+		    "event=domain_ignored domain=#%08x out=%u", domain, i);
+		return;
+	}
+	if (out && i == view->out_count)
 		view->out[view->out_count++] = domain;
 	else if (!out && i < view->out_count)
 		take_back(view, now, i);
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -355,6 +355,22 @@
 }
 END_TEST
 
+/* Guards against a domain that stays in use without a word because too many are
+ * out of service. */
+START_TEST(domain_beyond_the_limit_is_logged)
+{
+	read_operators(1, 20, "");
+	for (uint32_t domain = 1; domain <= PLUG_DOMAINS_OUT_MAX; domain++)
+		read_change(20 + domain, 20 + domain, domain, true);
+	ck_assert_ptr_null(strstr(logged, "event=domain_ignored"));
+	read_change(50, 50, PLUG_DOMAINS_OUT_MAX + 1, true);
+	ck_assert_ptr_nonnull(strstr(logged, "event=domain_ignored"));
+	ck_assert_uint_eq(view.out_count, PLUG_DOMAINS_OUT_MAX);
+	read_change(60, 60, 1, false);
+	ck_assert_uint_eq(view.out_count, PLUG_DOMAINS_OUT_MAX - 1);
+}
+END_TEST
+
 /* Guards against hosts that get more than they bear when their domain is taken
  * back: they may be cold since then, and the list shows it later. */
 START_TEST(hosts_of_a_domain_taken_back_are_cold)
@@ -599,6 +615,7 @@
 	tcase_add_test(test, changes_that_go_back_lead_to_a_complete_read);
 	tcase_add_test(test, restored_copy_takes_no_domain_back);
 	tcase_add_test(test, domain_taken_back_after_a_restore_is_back);
+	tcase_add_test(test, domain_beyond_the_limit_is_logged);
 	tcase_add_test(test, hosts_of_a_domain_taken_back_are_cold);
 	tcase_add_test(test, older_items_do_not_undo_the_domains);
 	tcase_add_test(test, domains_read_alone_undo_nothing_newer);
