--- a/net/storereader.c
+++ b/net/storereader.c
@@ -31,8 +31,8 @@
  * be used, are at least this far apart. */
 #define REFRESH_SPACING (100 * PLUG_MSEC)
 
-/* A part of the operators that takes longer to arrive is large for the entry's
- * link. Meanwhile the domains are read alone, this often. */
+/* An answer on the operators' part that takes longer to arrive is large for the
+ * entry's link. Meanwhile the domains are read alone, this often. */
 #define LARGE_AFTER    (200 * PLUG_MSEC)
 #define DOMAINS_PERIOD (500 * PLUG_MSEC)
 
@@ -78,7 +78,7 @@
 /**
  * struct unreadable_log - items that can't be used and have a log line
  * @items: hashes of their keys and revisions, the n-th one at index n modulo
- * the length
+ *   the length
  * @count: number of lines, in all
  * @began: begin of the current interval
  * @lines: lines in the current interval
@@ -253,7 +253,7 @@
 
 /* Return: whether an item is to be logged, which is noted then. */
 static bool
-take_line(struct unreadable_log *log, plug_time now, uint64_t item)
+reserve_log_line(struct unreadable_log *log, plug_time now, uint64_t item)
 {
 	for (unsigned int i = 0; i < log->count && i < UNREADABLE_REMEMBERED;
 	     i++) {
@@ -276,7 +276,7 @@
     struct plug_storereader *reader, const struct plug_store_item *item)
 {
 	reader->counters[PLUG_STORE_UNREADABLE]++;
-	if (!take_line(&reader->unreadable, plug_clock_now(),
+	if (!reserve_log_line(&reader->unreadable, plug_clock_now(),
 		plug_str_hash(plug_str_from(item->key)) + item->revision))
 		return;
 	plug_client_log(reader->client, PLUG_LOG_WARN,
--- a/tests/process/tracking.py
+++ b/tests/process/tracking.py
@@ -271,7 +271,7 @@
         wait_for("answer", deployment.request)
         wait_for("foreign_entry_named", lambda: deployment.log_has("entry",
             "event=store_item_unreadable key=servers/foreign"))
-        # Guards against entries that are left out without a word.
+        # Guards against entries that are left out without a log line.
         wait_for("each_left_out_entry_named", lambda: all(
             deployment.log_has("entry", "key=%s " % key)
             for key in Store.items if key.startswith("servers/lacks-")))
--- a/tests/unit/test_storeview.c
+++ b/tests/unit/test_storeview.c
@@ -355,8 +355,8 @@
 }
 END_TEST
 
-/* Guards against a domain that stays in use without a word because too many are
- * out of service. */
+/* Guards against a domain that stays in use without a log line because too many
+ * are out of service. */
 START_TEST(domain_beyond_the_limit_is_logged)
 {
 	read_operators(1, 20, "");
