--- a/review/world3.py
+++ b/review/world3.py
@@ -2,7 +2,7 @@
 
 Everything runs on loopback addresses: the store, the routers, the hosts and the
 clients in this process, the entries and agents as processes of the deploy file.
-The scripts in review/11 to review/15 build their cases from these parts.
+The scripts in review/11 to review/13 build their cases from these parts.
 """
 
 import base64
@@ -13,6 +13,7 @@
 import random
 import re
 import select
+import signal
 import socket
 import struct
 import subprocess
@@ -33,6 +34,7 @@
 RETRANSMIT_MAX = 1.6
 RETRANSMIT_TRIES = 8
 HELD, BROKEN, FAILED = 0, 1, 2  # exit codes of a case
+TIME_LIMIT_S = 100
 
 START = time.monotonic()
 
@@ -75,12 +77,11 @@
 
 class Store:
     """The platform's store. Reads with allow-stale show it as it was stale_s
-    seconds ago, or at the time stalled_at if that is earlier, but never older
-    than stale_max_s; all others are exact."""
+    seconds ago; all others are exact."""
 
     def __init__(self, address, record):
         self.record = record
-        self.stale_s, self.stale_max_s, self.stalled_at = 0.3, 3.5, None
+        self.stale_s = 0.3
         self.items, self.revision, self.events = {}, 100, []
         self.states = [(now(), 100, {})]
         self.changed = threading.Condition()
@@ -131,7 +132,7 @@
             else:
                 revision, items = self.revision, self.items
                 if query.get("allow-stale") == "1":
-                    at = self.shown_time()
+                    at = now() - self.stale_s
                     _, revision, items = [state for state in self.states
                         if state[0] <= at or state is self.states[0]][-1]
                 body = {"items": [items[key] for key in sorted(items)
@@ -148,12 +149,6 @@
         except OSError:
             handler.close_connection = True  # the process has ended
 
-    def shown_time(self):
-        at = now() - self.stale_s
-        if self.stalled_at is not None:
-            at = max(min(at, self.stalled_at), now() - self.stale_max_s)
-        return at
-
     def watch(self, prefix, after, wait_s):
         end = time.monotonic() + wait_s
         while True:
@@ -239,8 +234,7 @@
 class Host:
     """An application host: slots, a queue before them, flows and a health
     check that takes a slot. A request is one packet; its first word is the
-    id, its second one the work in milliseconds, and with a third one the
-    answer begins at once and goes on arriving until the work is done."""
+    id, its second one the work in milliseconds."""
 
     def __init__(self, world, name, service, zone, address, slots=2):
         self.world, self.record = world, world.record
@@ -248,13 +242,11 @@
         self.address, self.slots = address, slots
         self.timers, self.flows, self.takes = Timers(), {}, []
         self.busy, self.queue = 0, []
-        self.draining, self.closed_port, self.running = False, False, True
-        self.health_down = False
+        self.draining = False
         self.beats, self.born, self.cold_until = 0, 0, 0.0
-        self.health_at = 0.0
         self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.udp.bind((address, world.app))
-        self.listener, self.checks = None, set()
+        self.listener, self.checks, self.running = None, set(), False
         self.begin(name, 0.0)
         threading.Thread(target=self.run, daemon=True).start()
 
@@ -264,7 +256,9 @@
         self.epoch = object()
         self.beats, self.born = 0, int(time.time() * 1000)
         self.cold_until = now() + cold_s
-        self.listener = socket.create_server((self.address, self.world.app))
+        if self.listener is None:
+            self.listener = socket.create_server((self.address,
+                self.world.app))
         self.running = True
         self.beat()
 
@@ -272,6 +266,25 @@
         """Sends nothing more; its connections end with its machine."""
         self.running, self.epoch = False, None
         self.close_port()
+        self.reset_checks()
+
+    def fall_silent(self):
+        """Sends nothing more and closes nothing, as when its machine stops."""
+        self.running, self.epoch = False, None
+
+    def end_silence(self, name, cold_s):
+        """Starts again; the connections of before are reset."""
+        self.listener.setblocking(False)
+        try:
+            while True:
+                self.checks.add(self.listener.accept()[0])
+        except BlockingIOError:
+            pass
+        self.listener.setblocking(True)
+        self.reset_checks()
+        self.begin(name, cold_s)
+
+    def reset_checks(self):
         for check in list(self.checks):
             self.checks.discard(check)
             check.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
@@ -307,7 +320,7 @@
         while True:
             wait = self.timers.run_due()
             socks = [self.udp] + list(self.checks)
-            if self.listener is not None:
+            if self.listener is not None and self.running:
                 socks.append(self.listener)
             try:
                 ready, _, _ = select.select(socks, [], [], wait)
@@ -349,6 +362,9 @@
         self.fill_slots()
 
     def check(self, sock):
+        if not self.running:
+            time.sleep(0.001)  # it stays in the socket, unread
+            return
         request = sock.recv(4096)
         if not request:
             self.checks.discard(sock)
@@ -357,8 +373,7 @@
         self.take_slot(lambda: 0.001, lambda: self.answer_check(sock))
 
     def answer_check(self, sock):
-        self.health_at = now()
-        leaving = self.draining or self.health_down
+        leaving = self.draining
         self.record.add("health_answered", host=self.name,
             status=503 if leaving else 200)
         try:
@@ -410,13 +425,10 @@
     def request(self, peer, client, route, body):
         words = body.split()
         work = int(words[1]) / 1000
-        epoch = self.epoch
 
         def start():
             self.record.add("request_runs", host=self.name,
                 id=words[0].decode(), work_ms=int(1000 * work))
-            if len(words) > 2:
-                self.stream(peer, time.monotonic() + work, epoch)
             return work
 
         def done():
@@ -429,13 +441,6 @@
 
         self.take_slot(start, done)
 
-    def stream(self, peer, end, epoch):
-        if epoch is not self.epoch or time.monotonic() >= end - 0.05:
-            return
-        if len(peer.unacked) < 16:
-            peer.send(0, b"part " + b"x" * 1000)
-        self.timers.after(0.05, lambda: self.stream(peer, end, epoch))
-
 
 class Flow(Peer):
     """A client's end of a flow."""
@@ -533,15 +538,13 @@
                 self.record.add("client_gets_answer",
                     id=flow.answers[-1], client="%s:%d" % flow.local)
                 flow.acknowledge()
-            elif body:
-                flow.acknowledge()
             if flags & FIN:
                 flow.state = "closed"
                 flow.send(FIN)
                 flow.on_end(flow)
 
-    def request(self, flow, request, work_ms, streamed=False):
-        text = "%s %d%s" % (request, work_ms, " stream" if streamed else "")
+    def request(self, flow, request, work_ms):
+        text = "%s %d" % (request, work_ms)
         self.record.add("request_sent", id=request, client="%s:%d" %
             flow.local, work_ms=work_ms)
         self.timers.after(0, lambda: flow.send(0, text.encode()))
@@ -686,9 +689,16 @@
             process.wait()
 
 
+def interrupted(number, frame):
+    raise CannotRun("signal %d" % number)
+
+
 def play(folder, case):
     """Plays case(world, trouble), which returns whether the rule was broken
     and a text; exits with 1 if so, 0 if not, 2 if the case couldn't run."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, interrupted)
+    signal.alarm(TIME_LIMIT_S)
     world = World(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
@@ -696,6 +706,8 @@
         status = BROKEN if broken else HELD
     except CannotRun as reason:
         status, text = FAILED, "the case couldn't run: %s" % reason
+    except Exception as error:  # a fault of the script shows nothing
+        status, text = FAILED, "the script failed: %r" % error
     finally:
         for node in list(world.processes):
             for line in world.log_text(node).splitlines():
