--- a/review/world3.py
+++ b/review/world3.py
@@ -530,9 +530,9 @@
                 flow.acknowledge()
                 flow.on_open(flow)
             return
-        if flow.state != "open":
-            return
-        if flow.receive(flags, seq, ack, body):
+        if flow.state == "closed":
+            flow.receive(flags, seq, ack, body)
+        elif flow.state == "open" and flow.receive(flags, seq, ack, body):
             if body.startswith(b"done"):
                 flow.answers.append(body.split()[1].decode())
                 self.record.add("client_gets_answer",
