--- a/review/world3.py
+++ b/review/world3.py
@@ -310,7 +310,8 @@
     def keep_beating(self, epoch):
         if epoch is self.epoch and self.running:
             self.beat()
-            self.timers.after(1.2, lambda: self.keep_beating(epoch))
+            self.timers.after(self.world.heartbeat_s,
+                lambda: self.keep_beating(epoch))
 
     def drain(self):
         self.draining = True
@@ -584,7 +585,7 @@
         self.folder = folder
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory(prefix="plantainlug-")
-        self.processes, self.logs = {}, []
+        self.processes, self.heartbeat_s = {}, 1.2
         net = "127.%d.%d" % (random.randrange(64, 250),
             random.randrange(1, 250))
         self.net = net
